--- /dev/null
+++ b/include/masticslip/core/coap_codec.hpp
@@ -0,0 +1,27 @@
+#pragma once
+/// Encoding and decoding of CoAP messages, as the core needs it.
+
+#include "masticslip/core/coap_message.hpp"
+#include "masticslip/core/messages.hpp"
+
+#include <optional>
+
+namespace masticslip
+{
+
+/// Turns datagrams into messages and back. Implementations are thread-safe.
+class coap_codec
+{
+public:
+    virtual ~coap_codec() = default;
+
+    /// Returns the message, or nullopt if the datagram is malformed.
+    [[nodiscard]] virtual std::optional<coap_message>
+    decode(byte_view datagram) const = 0;
+
+    /// Returns the datagram. Precondition: options are sorted by number and
+    /// the token has at most 8 bytes.
+    [[nodiscard]] virtual bytes encode(const coap_message& message) const = 0;
+};
+
+} // namespace masticslip
--- /dev/null
+++ b/include/masticslip/core/companion_core.hpp
@@ -0,0 +1,149 @@
+#pragma once
+/// Decisions of a companion, the process beside one upstream: ownership of
+/// flows, admission, at-most-once, deadlines, watches and drain. No sockets,
+/// clocks, threads or random devices.
+///
+///     companion_core core(settings, output, events, codec);
+///     core.on_announcement(now, {"meetups", epoch, false});
+///     core.on_message(now, header, message);
+///     core.on_upstream_datagram(now, datagram);
+///     core.on_tick(now);   // every tick_interval
+///
+/// Caveats: call all methods from one thread with times that never go back.
+
+#include "masticslip/core/detail/companion_context.hpp"
+#include "masticslip/core/detail/ownership_controller.hpp"
+#include "masticslip/core/detail/request_controller.hpp"
+#include "masticslip/core/detail/watch_controller.hpp"
+
+#include <deque>
+
+namespace masticslip
+{
+
+/// Counts for the status report of a companion.
+struct companion_status
+{
+    std::size_t flows = 0;
+    std::size_t redirects = 0;
+    std::size_t watches = 0;
+    std::size_t requests_in_progress = 0;
+    std::size_t records = 0;
+    std::uint32_t in_flight = 0;
+    std::uint32_t limit = 0;
+    bool upstream_present = false;
+    bool withdrawn = false;
+    bool draining = false;
+    time_point last_upstream_packet;
+    std::uint64_t upstream_packets = 0;
+};
+
+/// The core of a companion. Not thread-safe.
+class companion_core final : private detail::flow_receiver
+{
+public:
+    /// The output, sink and codec must outlive the core. Precondition:
+    /// settings.record_window > settings.echo_fresh +
+    /// settings.request_deadline.
+    companion_core(
+        companion_settings settings,
+        companion_output& output,
+        event_sink& events,
+        const coap_codec& codec);
+
+    /// Takes one authentic internal message.
+    void on_message(
+        time_point now,
+        const message_header& header,
+        const internal_message& message);
+
+    /// Takes what the upstream says of itself.
+    void
+    on_announcement(time_point now, const upstream_announcement& announcement);
+
+    /// Takes a CoAP datagram of the upstream.
+    void on_upstream_datagram(time_point now, byte_view datagram);
+
+    /// Takes an opaque datagram of the upstream for one flow.
+    void
+    on_flow_datagram(time_point now, const flow_key& flow, byte_view datagram);
+
+    /// Does what is due.
+    void on_tick(time_point now);
+
+    /// Starts a graceful stop: no new work; watches are handed to siblings.
+    void start_drain(time_point now);
+
+    /// True if the graceful stop has nothing left to wait for.
+    [[nodiscard]] bool is_drained(time_point now) const;
+
+    /// Gives final answers to all that is still in progress.
+    void give_up_all(time_point now);
+
+    [[nodiscard]] companion_status status() const;
+
+    [[nodiscard]] const detail::config_controller& config() const
+    {
+        return this->context.configs;
+    }
+
+    [[nodiscard]] const member_record& self() const
+    {
+        return this->context.heartbeats.self();
+    }
+
+    /// Flows owned here.
+    [[nodiscard]] const flow_map<detail::owned_flow>& flows() const
+    {
+        return this->ownership.flows();
+    }
+
+private:
+    /// Counts packets to the upstream on their way out.
+    class counting_output final : public companion_output
+    {
+    public:
+        explicit counting_output(companion_output& target) : target(target)
+        {
+        }
+
+        void send(instance_id to, const internal_message& message) override;
+        void send_to_upstream(byte_view datagram) override;
+        void send_datagram_to_upstream(
+            const flow_key& flow, byte_view datagram) override;
+        void close_datagram_flow(const flow_key& flow) override;
+
+        companion_output& target;
+        time_point now;
+        time_point last_packet;
+        std::uint64_t packets = 0;
+    };
+
+    void
+    on_owned_packet(time_point now, const forward_message& message) override;
+    void on_forward(
+        time_point now,
+        const message_header& header,
+        const forward_message& message);
+    void on_coap_packet(time_point now, const forward_message& message);
+    void on_empty_message(
+        time_point now,
+        const forward_message& message,
+        const coap_message& decoded);
+    bool may_act(time_point now);
+    void release_held(time_point now);
+    void on_configuration_changed(time_point now);
+    void update_state(time_point now);
+    void check_upstream(time_point now);
+
+    counting_output output;
+    detail::companion_context context;
+    detail::ownership_controller ownership;
+    detail::watch_controller watches;
+    detail::request_controller requests;
+    std::deque<detail::held_packet> held;
+    time_point last_announcement;
+    bool was_withdrawn = false;
+};
+
+} // namespace masticslip
--- /dev/null
+++ b/include/masticslip/core/detail/membership_controller.hpp
@@ -0,0 +1,121 @@
+#pragma once
+/// An entry's membership: watches instances, spreads changes by gossip and
+/// repairs differences by digests.
+///
+/// Method: SWIM (Das, Gupta and Motivala, DSN 2002): incarnation numbers and
+/// suspicion before removal. Unlike SWIM, each instance is watched by a few
+/// entries chosen by rendezvous hash, so the cost for a companion is constant.
+
+#include "masticslip/core/event_sink.hpp"
+#include "masticslip/core/internal_output.hpp"
+#include "masticslip/core/member_table.hpp"
+
+#include <deque>
+#include <functional>
+#include <random>
+#include <unordered_map>
+
+namespace masticslip::detail
+{
+
+/// What a watcher heard of one instance.
+struct observation
+{
+    time_point last_heard;
+    time_point suspected;
+    /// Configuration generation that the instance has in force.
+    generation in_force = 0;
+};
+
+/// Not thread-safe.
+class membership_controller
+{
+public:
+    /// Returns whether an instance may be given new work.
+    using usable_filter = std::function<bool(const member_record&)>;
+
+    membership_controller(
+        internal_output& output,
+        event_sink& events,
+        instance_id self,
+        std::uint64_t random_seed);
+
+    /// Sends due gossip and digests and judges silent instances.
+    void on_tick(time_point now);
+
+    void on_message(
+        time_point now, const message_header& header, const heartbeat& message);
+    void on_message(
+        time_point now,
+        const message_header& header,
+        const gossip_message& message);
+    void on_message(
+        time_point now,
+        const message_header& header,
+        const digest_message& message);
+
+    /// Merges this node's own record and spreads it.
+    void announce_self(time_point now, const member_record& self);
+
+    /// Restarts all silence clocks, for use after this node was frozen.
+    void forgive_silence(time_point now);
+
+    /// Tells a few peers that there is news (the message header carries the
+    /// configuration generation).
+    void nudge_peers();
+
+    /// Limits the siblings named in heartbeat answers.
+    void set_usable_filter(usable_filter filter)
+    {
+        this->usable = std::move(filter);
+    }
+
+    /// What this node heard itself from the instances it watches.
+    [[nodiscard]] const std::unordered_map<instance_id, observation>&
+    heard() const
+    {
+        return this->observations;
+    }
+
+    [[nodiscard]] const member_table& table() const
+    {
+        return this->members;
+    }
+
+    /// Digest of the whole table.
+    [[nodiscard]] digest_message make_digest() const;
+
+private:
+    struct pending_delta
+    {
+        instance_id id;
+        std::uint32_t sends_left = 0;
+    };
+
+    bool merge(time_point now, const member_record& record);
+    void send_gossip();
+    void send_digest();
+    void judge_silence(time_point now);
+    void judge(time_point now, const member_record& record);
+    void change_state(
+        time_point now, const member_record& record, member_state state);
+    void forget_departed(time_point now);
+    void
+    answer_heartbeat(const message_header& header, const heartbeat& message);
+    std::vector<instance_id> random_peers(std::size_t count);
+
+    internal_output& output;
+    event_sink& events;
+    instance_id self;
+    std::mt19937_64 random;
+    member_table members;
+    usable_filter usable;
+    std::deque<pending_delta> deltas;
+    std::unordered_map<instance_id, observation> observations;
+    std::unordered_map<instance_id, time_point> departed;
+    time_point next_gossip;
+    time_point next_digest;
+    time_point next_judgement;
+};
+
+} // namespace masticslip::detail
--- /dev/null
+++ b/include/masticslip/core/detail/ownership_controller.hpp
@@ -0,0 +1,136 @@
+#pragma once
+/// Decides which companion owns a flow, without agreement among entries.
+///
+/// A companion that does not know a flow asks the other candidates whether
+/// they do. Known: it forwards and keeps a redirect. Unknown to all: the flow
+/// is created at the least loaded candidate that admits work. The look-up is
+/// also the load probe (Wydrowski et al., "Load is not what you should
+/// balance: Introducing Prequal", NSDI 2024).
+
+#include "masticslip/core/detail/companion_context.hpp"
+#include "masticslip/core/detail/held_packet.hpp"
+#include "masticslip/core/flow_map.hpp"
+#include "masticslip/core/upstream_choice.hpp"
+
+#include <map>
+#include <vector>
+
+namespace masticslip::detail
+{
+
+/// What an owner keeps for one flow.
+struct owned_flow
+{
+    time_point last_used;
+    /// A multi-block transfer is in progress until then.
+    time_point transfer_until;
+    instance_id last_entry;
+    /// Sibling that runs a request of this flow; zero if none.
+    instance_id guest;
+    std::uint16_t next_message_id = 0;
+    std::uint16_t watches = 0;
+    std::uint16_t exchanges = 0;
+};
+
+/// Receives packets of flows owned here.
+class flow_receiver
+{
+public:
+    virtual ~flow_receiver() = default;
+
+    virtual void
+    on_owned_packet(time_point now, const forward_message& message) = 0;
+};
+
+/// Not thread-safe.
+class ownership_controller
+{
+public:
+    ownership_controller(companion_context& context, flow_receiver& receiver)
+        : context(context), receiver(receiver)
+    {
+    }
+
+    /// Delivers, relays or looks up the owner of a packet.
+    void on_packet(time_point now, const forward_message& message);
+
+    void on_message(
+        time_point now, const message_header& header, const flow_query& query);
+    void on_message(
+        time_point now,
+        const message_header& header,
+        const flow_query_answer& answer);
+
+    /// Repeats and concludes look-ups; forgets idle flows.
+    void on_tick(time_point now);
+
+    /// Owns a flow from now on; returns its state, valid until the next call.
+    owned_flow& own(time_point now, const flow_key& flow, instance_id entry);
+
+    /// State of an owned flow, or null; valid until the next call.
+    [[nodiscard]] owned_flow* find(const flow_key& flow);
+
+    /// Stops owning a flow; later packets go to `target`.
+    void redirect(time_point now, const flow_key& flow, instance_id target);
+
+    /// Forgets all flows and redirects.
+    std::size_t give_up_all();
+
+    /// Sends a packet on to another companion.
+    void relay(
+        time_point now,
+        const forward_message& message,
+        instance_id target,
+        forward_mode mode);
+
+    [[nodiscard]] const flow_map<owned_flow>& flows() const
+    {
+        return this->owned;
+    }
+
+    [[nodiscard]] std::size_t redirect_count() const
+    {
+        return this->redirects.size();
+    }
+
+private:
+    struct redirect_record
+    {
+        instance_id target;
+        time_point expires;
+    };
+
+    struct look_up
+    {
+        std::uint32_t query = 0;
+        std::vector<held_packet> packets;
+        std::vector<candidate_load> candidates;
+        std::vector<instance_id> unanswered;
+        time_point started;
+        time_point repeat_at;
+        bool repeated = false;
+    };
+
+    bool follow_redirect(time_point now, const forward_message& message);
+    void start_look_up(time_point now, const forward_message& message);
+    void send_queries(const flow_key& flow, const look_up& state);
+    void conclude(time_point now, const flow_key& flow);
+    void resolve(
+        time_point now,
+        const flow_key& flow,
+        instance_id owner,
+        forward_mode mode);
+    bool outranks_self(const flow_key& flow, instance_id other) const;
+    bool may_create(const forward_message& message) const;
+    void forget_idle(time_point now);
+
+    companion_context& context;
+    flow_receiver& receiver;
+    flow_map<owned_flow> owned;
+    flow_map<redirect_record> redirects;
+    std::map<flow_key, look_up> look_ups;
+    std::uint32_t next_query = 1;
+    time_point next_cleaning;
+};
+
+} // namespace masticslip::detail
--- /dev/null
+++ b/include/masticslip/core/detail/request_controller.hpp
@@ -0,0 +1,164 @@
+#pragma once
+/// Runs callers' requests at the upstream: at most once, below the limit,
+/// within the deadline, and with exactly one final answer each.
+
+#include "masticslip/core/detail/request_filters.hpp"
+#include "masticslip/core/detail/watch_controller.hpp"
+
+#include <deque>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace masticslip::detail
+{
+
+/// Not thread-safe.
+class request_controller final : public request_actions
+{
+public:
+    request_controller(
+        companion_context& context,
+        ownership_controller& ownership,
+        watch_controller& watches);
+
+    /// Takes a decoded request of a flow that this companion serves.
+    void on_request(
+        time_point now,
+        const forward_message& message,
+        const coap_message& request);
+
+    /// Takes a message from the upstream.
+    void on_upstream_message(time_point now, const coap_message& message);
+
+    /// Takes a sibling's watch.
+    void on_message(
+        time_point now,
+        const message_header& header,
+        const watch_handoff& message);
+
+    /// Takes the acknowledgement of a packet sent to a bound companion.
+    void on_message(const forward_ack& message);
+
+    /// The upstream lost what it had in progress.
+    void on_upstream_restarted(time_point now);
+
+    /// Ends all requests in progress with the outcome unknown.
+    void give_up_all(time_point now, result_code code);
+
+    /// Ends overdue requests and repeats what is due.
+    void on_tick(time_point now);
+
+    [[nodiscard]] std::size_t in_progress() const
+    {
+        return this->exchanges.size();
+    }
+
+    [[nodiscard]] const execution_records& record_store() const
+    {
+        return this->records;
+    }
+
+    void refuse(const request_context& context, result_code code) override;
+    void
+    answer_unknown(const request_context& context, result_code code) override;
+    void require_echo(const request_context& context) override;
+    void repeat_answer(
+        const request_context& context, const coap_message& answer) override;
+    void send_to_bound(
+        const request_context& context, const echo_claim& claim) override;
+    bool transfer(const request_context& context) override;
+    void transfer_again(
+        const request_context& context, instance_life target) override;
+    [[nodiscard]] bool
+    is_in_progress(const request_context& context) const override;
+
+private:
+    /// Why the upstream was asked.
+    enum class exchange_kind : std::uint8_t
+    {
+        request,      ///< For a caller.
+        registration, ///< To renew a watch after an upstream restart.
+        hand_over     ///< To take over a sibling's watch.
+    };
+
+    struct exchange
+    {
+        exchange_kind kind = exchange_kind::request;
+        flow_key flow;
+        instance_id entry;
+        trace_context trace;
+        coap_message request;
+        request_key key;
+        std::uint8_t hops = 0;
+        time_point started;
+        time_point deadline;
+        /// For hand_over: the message and its sender.
+        watch_handoff handoff;
+        instance_id handoff_from;
+        /// For registration: the watch to renew.
+        exchange_id watch = 0;
+    };
+
+    struct bound_packet
+    {
+        held_packet packet;
+        instance_id target;
+        std::uint32_t attempts = 0;
+        time_point repeat_at;
+    };
+
+    using exchange_map = std::unordered_map<exchange_id, exchange>;
+
+    void execute(const request_context& context);
+    exchange_id start(time_point now, exchange item);
+    void complete(time_point now, exchange_id id, const coap_message& response);
+    void complete_request(
+        time_point now,
+        exchange_id id,
+        const exchange& item,
+        const coap_message& response);
+    void complete_hand_over(
+        time_point now,
+        exchange_id id,
+        const exchange& item,
+        const coap_message& response);
+    void finish(time_point now, exchange_map::iterator place);
+    void end_unknown(time_point now, exchange_id id, result_code code);
+    bool retry_refused(time_point now, const exchange& item);
+    void note_transfer(
+        time_point now, const exchange& item, const coap_message& response);
+    coap_message make_answer(
+        const coap_message& request, coap_code code, result_code result) const;
+    void send_answer(
+        time_point now,
+        const flow_key& flow,
+        instance_id entry,
+        const trace_context& trace,
+        const coap_message& request,
+        coap_message answer);
+    void send_final(
+        const request_context& context,
+        coap_code code,
+        result_code result,
+        bool record);
+    void cancel_at_upstream(exchange_id id);
+    void start_queued(time_point now);
+    void repeat_bound(time_point now);
+    void give_up_bound(time_point now, const bound_packet& item);
+
+    companion_context& context;
+    ownership_controller& ownership;
+    watch_controller& watches;
+    execution_records records;
+    std::vector<std::unique_ptr<request_filter>> filters;
+    exchange_map exchanges;
+    std::unordered_map<request_key, exchange_id> by_token;
+    std::deque<exchange> queued;
+    std::unordered_map<std::uint32_t, bound_packet> bound;
+    exchange_id next_exchange = 1;
+    std::uint32_t next_sequence = 1;
+    std::uint16_t next_upstream_message_id = 1;
+};
+
+} // namespace masticslip::detail
--- /dev/null
+++ b/include/masticslip/core/echo_token.hpp
@@ -0,0 +1,52 @@
+#pragma once
+/// Echo values (RFC 9175) that bind a non-idempotent request to one
+/// incarnation of one companion.
+///
+///     auto echo = issuer.issue({self, life, now});
+///     auto claim = issuer.verify(option.value);  // nullopt: forged
+///
+/// The value is 40 bytes: companion id, incarnation, issue time and a
+/// 16-byte SipHash-2-4 tag under the shared key.
+
+#include "masticslip/core/coap_message.hpp"
+#include "masticslip/core/types.hpp"
+
+#include <array>
+#include <optional>
+
+namespace masticslip
+{
+
+/// Key shared by all processes of one deployment.
+using shared_key = std::array<std::uint8_t, 16>;
+
+/// What an Echo value states.
+struct echo_claim
+{
+    instance_id companion;
+    incarnation life;
+    /// On the monotonic clock of the issuing incarnation.
+    time_point issued;
+
+    bool operator==(const echo_claim&) const = default;
+};
+
+/// Issues and verifies Echo values. Immutable, therefore thread-safe.
+class echo_issuer
+{
+public:
+    explicit echo_issuer(const shared_key& key) : key(key)
+    {
+    }
+
+    /// Returns the option value for a claim.
+    [[nodiscard]] bytes issue(const echo_claim& claim) const;
+
+    /// Returns the claim, or nullopt if the value was not issued under the key.
+    [[nodiscard]] std::optional<echo_claim> verify(const bytes& value) const;
+
+private:
+    shared_key key;
+};
+
+} // namespace masticslip
--- /dev/null
+++ b/include/masticslip/core/internal_output.hpp
@@ -0,0 +1,20 @@
+#pragma once
+/// Sending of internal messages, as the core needs it.
+
+#include "masticslip/core/messages.hpp"
+
+namespace masticslip
+{
+
+/// Sends internal messages. Called on the thread that drives the core.
+class internal_output
+{
+public:
+    virtual ~internal_output() = default;
+
+    /// Sends one message; may lose it. The message is valid only during the
+    /// call.
+    virtual void send(instance_id to, const internal_message& message) = 0;
+};
+
+} // namespace masticslip
--- /dev/null
+++ b/include/masticslip/core/messages.hpp
@@ -0,0 +1,241 @@
+#pragma once
+/// Typed messages between the processes of the system.
+///
+/// The codec is `masticslip/wire/message_codec.hpp`. Payload spans refer to
+/// the buffer of the received datagram and are valid only during the call.
+
+#include "masticslip/core/coap_message.hpp"
+#include "masticslip/core/member_table.hpp"
+#include "masticslip/core/types.hpp"
+
+#include <array>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace masticslip
+{
+
+/// Carried by every internal message.
+struct message_header
+{
+    instance_id sender;
+    incarnation life;
+    /// Newest configuration generation that the sender has in force.
+    generation newest = 0;
+};
+
+/// Octets owned by the receive buffer.
+using byte_view = std::span<const std::uint8_t>;
+
+/// Most candidates named in one message.
+constexpr std::size_t max_candidates = 16;
+
+/// Fixed-capacity list of candidates, best first.
+struct candidate_list
+{
+    std::array<instance_id, max_candidates> ids{};
+    std::uint8_t count = 0;
+
+    [[nodiscard]] std::span<const instance_id> view() const
+    {
+        return {this->ids.data(), this->count};
+    }
+
+    /// Appends an id; ignored when full.
+    void add(instance_id id)
+    {
+        if (this->count < max_candidates)
+        {
+            this->ids[this->count++] = id;
+        }
+    }
+
+    [[nodiscard]] bool contains(instance_id id) const
+    {
+        for (const instance_id item : this->view())
+        {
+            if (item == id)
+            {
+                return true;
+            }
+        }
+        return false;
+    }
+};
+
+/// What the receiver of a packet is asked to do about ownership.
+enum class forward_mode : std::uint8_t
+{
+    owner,   ///< The entry's cache names the receiver as owner.
+    look_up, ///< Find the owner; create the flow if there is none.
+    create,  ///< All candidates were asked; own the flow.
+    bound,   ///< Run the request here: its Echo names the receiver.
+    transfer ///< A request that the sender has not run and never will.
+};
+
+/// Trace context of one packet (W3C trace and parent span ids).
+struct trace_context
+{
+    std::uint64_t trace_high = 0;
+    std::uint64_t trace_low = 0;
+    std::uint64_t parent_span = 0;
+
+    [[nodiscard]] bool sampled() const
+    {
+        return this->trace_low != 0;
+    }
+};
+
+/// A caller's packet on its way to the owner.
+struct forward_message
+{
+    flow_key flow;
+    /// Entry that received the packet; replies may use it.
+    instance_id entry;
+    forward_mode mode = forward_mode::owner;
+    std::uint8_t hops = 0;
+    /// Nonzero if the sender waits for a forward_ack.
+    std::uint32_t sequence = 0;
+    /// For `transfer`: the only incarnation of the receiver that may run it.
+    incarnation target_life;
+    /// For `transfer`: the receiver owns the flow from now on.
+    bool moves_flow = false;
+    trace_context trace;
+    candidate_list candidates;
+    byte_view payload;
+};
+
+/// Tells the sender that a companion took charge of a packet.
+struct forward_ack
+{
+    std::uint32_t sequence = 0;
+};
+
+/// A packet for a caller.
+struct reply_message
+{
+    flow_key flow;
+    /// True if the sender owns the flow, so that entries may cache it.
+    bool from_owner = true;
+    trace_context trace;
+    byte_view payload;
+};
+
+/// Asks whether the receiver knows a flow, and how loaded it is.
+struct flow_query
+{
+    flow_key flow;
+    std::uint32_t query = 0;
+};
+
+/// What a companion knows of a flow.
+enum class flow_knowledge : std::uint8_t
+{
+    unknown,
+    owned,
+    redirected,
+    looking_up ///< It is looking up the flow itself.
+};
+
+/// Answer to flow_query.
+struct flow_query_answer
+{
+    flow_key flow;
+    std::uint32_t query = 0;
+    flow_knowledge knowledge = flow_knowledge::unknown;
+    instance_id owner;
+    std::uint32_t in_flight = 0;
+    std::uint32_t limit = 0;
+    std::uint32_t flows = 0;
+    bool admits = false;
+};
+
+/// Companion to its watchers: its own record.
+struct heartbeat
+{
+    member_record self;
+    /// On the sender's clock; returned in the answer.
+    time_point sent;
+};
+
+/// One life of an instance.
+struct instance_life
+{
+    instance_id id;
+    incarnation life;
+};
+
+/// Watcher to companion: entries and siblings it should know.
+struct heartbeat_answer
+{
+    std::vector<instance_id> entries;
+    std::vector<instance_life> siblings;
+    /// What the watcher has on record for the receiver.
+    member_record known;
+    /// Send time of the heartbeat that is answered.
+    time_point heartbeat_sent;
+};
+
+/// Membership records that changed.
+struct gossip_message
+{
+    std::vector<member_record> records;
+};
+
+/// Buckets of the member table, hashed for comparison.
+constexpr std::size_t digest_buckets = 64;
+struct digest_message
+{
+    std::array<std::uint64_t, digest_buckets> buckets{};
+};
+
+/// Asks for the configuration document.
+struct config_request
+{
+};
+
+/// A configuration document in JSON form.
+struct config_push
+{
+    std::string document;
+};
+
+/// Hands a watch to a sibling.
+struct watch_handoff
+{
+    std::uint32_t transfer = 0;
+    flow_key flow;
+    instance_id entry;
+    /// Last Observe value and message id sent to the caller.
+    std::uint32_t observe = 0;
+    std::uint16_t message_id = 0;
+    /// The registration request, encoded as CoAP.
+    bytes request;
+};
+
+/// Accepts a watch.
+struct watch_handoff_ack
+{
+    std::uint32_t transfer = 0;
+};
+
+/// Every message of the internal protocol.
+using internal_message = std::variant<
+    forward_message,
+    forward_ack,
+    reply_message,
+    flow_query,
+    flow_query_answer,
+    heartbeat,
+    heartbeat_answer,
+    gossip_message,
+    digest_message,
+    config_request,
+    config_push,
+    watch_handoff,
+    watch_handoff_ack>;
+
+} // namespace masticslip
--- /dev/null
+++ b/include/masticslip/core/result_code.hpp
@@ -0,0 +1,75 @@
+#pragma once
+/// Numbered result codes that callers, operators and logs see.
+///
+/// The table with meanings and what to do is docs/RESULT_CODES.md. A test
+/// keeps the table and this list equal.
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+namespace masticslip
+{
+
+/// Every outcome has one number; numbers are never reused.
+enum class result_code : std::uint16_t
+{
+    done = 0,
+    not_run_echo_required = 101,
+    not_run_overloaded = 102,
+    not_run_no_upstream = 103,
+    not_run_domain_withdrawn = 104,
+    not_run_upstream_refused = 105,
+    not_run_upload_interrupted = 106,
+    not_run_no_configuration = 107,
+    unknown_companion_gone = 201,
+    unknown_record_expired = 202,
+    unknown_upstream_silent = 203,
+    unknown_domain_withdrawn = 204,
+    unknown_stopping = 205,
+    watch_ended_domain_withdrawn = 301,
+    watch_ended_stopping = 302,
+    config_accepted = 400,
+    config_invalid = 401,
+    config_conflict = 402,
+    config_undecided = 403,
+    config_store_unavailable = 404,
+    config_not_in_force = 405,
+    config_not_found = 406,
+    dropped_malformed = 501,
+    dropped_unauthentic = 502,
+    dropped_foreign_version = 503,
+    dropped_wrong_service = 504,
+    dropped_stale = 505,
+    dropped_replayed = 506,
+    dropped_unknown_flow = 507
+};
+
+/// A code with its stable name.
+struct result_code_entry
+{
+    result_code code;
+    std::string_view name;
+};
+
+/// All codes in ascending order.
+extern const std::array<result_code_entry, 29> result_code_table;
+
+/// Returns the stable name of a code.
+std::string_view to_string(result_code code);
+
+/// True if the code promises that the request was not and will not be run.
+constexpr bool means_not_run(result_code code)
+{
+    const auto value = static_cast<std::uint16_t>(code);
+    return value >= 100 && value < 200;
+}
+
+/// True if the request may or may not have run.
+constexpr bool means_unknown(result_code code)
+{
+    const auto value = static_cast<std::uint16_t>(code);
+    return value >= 200 && value < 300;
+}
+
+} // namespace masticslip
--- /dev/null
+++ b/src/cli/commands.cpp
@@ -0,0 +1,80 @@
+#include "commands.hpp"
+
+#include "change_commands.hpp"
+#include "report_commands.hpp"
+
+#include <functional>
+#include <map>
+#include <ostream>
+
+namespace masticslip
+{
+
+namespace
+{
+
+using command = std::function<cli_exit(const command_context&)>;
+
+struct command_entry
+{
+    command run;
+    std::size_t arguments = 0;
+};
+
+const std::map<std::string, command_entry>& command_table()
+{
+    static const std::map<std::string, command_entry> table{
+        {"config show", {show_configuration, 0}},
+        {"config apply", {apply_configuration, 1}},
+        {"config diff", {diff_configuration, 1}},
+        {"config settle", {settle_change, 2}},
+        {"preset list", {list_presets, 0}},
+        {"preset use", {use_preset, 1}},
+        {"domain list", {list_domains, 0}},
+        {"domain out", {withdraw_domain, 1}},
+        {"domain in", {return_domain, 1}},
+        {"status", {show_status, 0}},
+        {"upstreams", {show_upstreams, 0}},
+        {"flows", {show_flows, 0}},
+        {"audit", {show_audit, 0}},
+        {"audit verify", {verify_audit, 0}}};
+    return table;
+}
+
+} // namespace
+
+cli_exit run_command(
+    const cli_settings& settings, std::ostream& out, std::ostream& errors)
+{
+    const auto& words = settings.words;
+    const auto& table = command_table();
+    // The longest name that matches wins: "audit verify" before "audit".
+    for (std::size_t length = std::min<std::size_t>(2, words.size());
+         length > 0; --length)
+    {
+        const std::string name =
+            length == 2 ? words[0] + " " + words[1] : words[0];
+        const auto found = table.find(name);
+        if (found == table.end())
+        {
+            continue;
+        }
+        const std::vector<std::string> arguments(
+            words.begin() + static_cast<std::ptrdiff_t>(length), words.end());
+        if (arguments.size() != found->second.arguments)
+        {
+            errors << "masticslip: '" << name << "' takes "
+                   << found->second.arguments << " argument(s)\n";
+            return cli_exit::usage;
+        }
+        return found->second.run({settings, arguments, out, errors});
+    }
+    errors << "masticslip: unknown command; known are:\n";
+    for (const auto& [name, entry] : table)
+    {
+        errors << "  " << name << '\n';
+    }
+    return cli_exit::usage;
+}
+
+} // namespace masticslip
--- /dev/null
+++ b/src/cli/report_commands.cpp
@@ -0,0 +1,455 @@
+#include "report_commands.hpp"
+
+#include "fleet.hpp"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <iomanip>
+#include <iterator>
+
+namespace masticslip
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+std::optional<fleet> ask_fleet(const command_context& context)
+{
+    fleet instances(context.settings.entries);
+    if (!instances.refresh())
+    {
+        context.errors << "masticslip: no entry answers: "
+                       << instances.last_reason() << '\n';
+        return std::nullopt;
+    }
+    return instances;
+}
+
+json::array to_array(const std::vector<std::string>& names)
+{
+    json::array result;
+    for (const auto& name : names)
+    {
+        result.emplace_back(name);
+    }
+    return result;
+}
+
+/// Reads `/status` or `/flows` of all present companions.
+std::vector<json::object>
+ask_companions(fleet& instances, const std::string& target)
+{
+    std::vector<json::object> result;
+    for (const auto& [id, member] : instances.members())
+    {
+        const bool wanted =
+            member.role == "companion" && member.state != "left";
+        if (!wanted)
+        {
+            continue;
+        }
+        if (const auto report = instances.get(member.admin, target))
+        {
+            result.push_back(*report);
+        }
+    }
+    return result;
+}
+
+std::string text_of(const json::object& object, std::string_view key)
+{
+    const auto* value = object.if_contains(key);
+    if (value == nullptr)
+    {
+        return "-";
+    }
+    const auto* text = value->if_string();
+    return text != nullptr ? std::string(*text) : json::serialize(*value);
+}
+
+void print_columns(
+    const command_context& context,
+    const json::object& report,
+    const std::vector<std::pair<std::string, int>>& columns)
+{
+    for (const auto& [key, width] : columns)
+    {
+        context.out << std::left << std::setw(width) << text_of(report, key)
+                    << ' ';
+    }
+    context.out << '\n';
+}
+
+void print_header(
+    const command_context& context,
+    const std::vector<std::pair<std::string, int>>& columns)
+{
+    for (const auto& [key, width] : columns)
+    {
+        context.out << std::left << std::setw(width) << key << ' ';
+    }
+    context.out << '\n';
+}
+
+/// Wall-clock time at which a generation came into force at an instance, in
+/// microseconds; zero if it did not or is forgotten.
+std::int64_t in_force_since(const json::object& report, generation number)
+{
+    const auto* history = report.if_contains("history");
+    if (history == nullptr || !history->is_array())
+    {
+        return 0;
+    }
+    for (const auto& value : history->get_array())
+    {
+        const auto& item = value.as_object();
+        if (item.at("generation").to_number<generation>() >= number)
+        {
+            return item.at("since_us").to_number<std::int64_t>();
+        }
+    }
+    return 0;
+}
+
+struct in_force_summary
+{
+    std::size_t instances = 0;
+    std::int64_t last_us = 0;
+};
+
+in_force_summary
+summarize(const std::vector<json::object>& reports, generation number)
+{
+    in_force_summary result;
+    for (const auto& report : reports)
+    {
+        const std::int64_t since = in_force_since(report, number);
+        result.instances += since > 0 ? 1 : 0;
+        result.last_us = std::max(result.last_us, since);
+    }
+    return result;
+}
+
+std::optional<std::vector<std::string>>
+read_audit_texts(const command_context& context, cli_exit& exit)
+{
+    if (context.settings.store.empty())
+    {
+        context.errors << "masticslip: --store (MASTICSLIP_STORE) is needed\n";
+        exit = cli_exit::usage;
+        return std::nullopt;
+    }
+    failure_reason reason;
+    auto result = with_store(
+        context, [&](config_store& store) { return store.read_audit(reason); });
+    if (!result)
+    {
+        exit = report_failure(context, reason);
+    }
+    return result;
+}
+
+json::object
+audit_to_json(const audit_record& record, const in_force_summary& summary)
+{
+    return {
+        {"generation", record.number},
+        {"change_id", record.change_id},
+        {"operator", record.operator_name},
+        {"reason", record.reason},
+        {"accepted_at_us", record.accepted_at},
+        {"differences", to_array(record.differences)},
+        {"in_force_instances", summary.instances},
+        {"in_force_last_us", summary.last_us}};
+}
+
+void print_audit(
+    const command_context& context,
+    const audit_record& record,
+    const in_force_summary& summary)
+{
+    context.out << "generation " << record.number << "  " << record.change_id
+                << "  by " << record.operator_name << ": " << record.reason
+                << '\n';
+    for (const auto& line : record.differences)
+    {
+        context.out << "  " << line << '\n';
+    }
+    if (summary.instances > 0)
+    {
+        context.out << "  in force at " << summary.instances
+                    << " instances, the last one "
+                    << (summary.last_us - record.accepted_at) / 1000
+                    << " ms after the change was made\n";
+    }
+}
+
+} // namespace
+
+cli_exit show_configuration(const command_context& context)
+{
+    cli_exit exit = cli_exit::success;
+    const auto stored = read_stored(context, exit);
+    if (!stored)
+    {
+        return exit;
+    }
+    if (stored->revision == 0)
+    {
+        return report_failure(
+            context,
+            {result_code::config_not_found, "no configuration in the store"});
+    }
+    context.out << stored->text << '\n';
+    return cli_exit::success;
+}
+
+cli_exit diff_configuration(const command_context& context)
+{
+    cli_exit exit = cli_exit::success;
+    const auto stored = read_stored(context, exit);
+    if (!stored)
+    {
+        return exit;
+    }
+    std::ifstream file(context.arguments[0], std::ios::binary);
+    const std::string text(std::istreambuf_iterator<char>(file), {});
+    failure_reason reason;
+    const auto wanted = parse_configuration(text, reason);
+    if (!wanted)
+    {
+        reason.text = context.arguments[0] + ": " + reason.text;
+        return report_failure(context, reason);
+    }
+    const auto lines = describe_differences(stored->value, *wanted);
+    if (context.settings.json)
+    {
+        context.out << json::serialize(to_array(lines)) << '\n';
+        return cli_exit::success;
+    }
+    for (const auto& line : lines)
+    {
+        context.out << line << '\n';
+    }
+    return cli_exit::success;
+}
+
+cli_exit list_presets(const command_context& context)
+{
+    cli_exit exit = cli_exit::success;
+    const auto stored = read_stored(context, exit);
+    if (!stored)
+    {
+        return exit;
+    }
+    json::array names;
+    for (const auto& item : stored->value.presets)
+    {
+        const bool in_force = item.name == stored->value.preset_in_force;
+        names.push_back(
+            json::object{{"name", item.name}, {"in_force", in_force}});
+        if (!context.settings.json)
+        {
+            context.out << (in_force ? "* " : "  ") << item.name << '\n';
+        }
+    }
+    if (context.settings.json)
+    {
+        context.out << json::serialize(names) << '\n';
+    }
+    return cli_exit::success;
+}
+
+cli_exit list_domains(const command_context& context)
+{
+    cli_exit exit = cli_exit::success;
+    const auto stored = read_stored(context, exit);
+    if (!stored)
+    {
+        return exit;
+    }
+    json::array items;
+    for (const auto& name : stored->value.failure_domains)
+    {
+        const bool out = stored->value.is_withdrawn(name);
+        items.push_back(json::object{{"name", name}, {"withdrawn", out}});
+        if (!context.settings.json)
+        {
+            context.out << name << (out ? " withdrawn" : " in service") << '\n';
+        }
+    }
+    if (context.settings.json)
+    {
+        context.out << json::serialize(items) << '\n';
+    }
+    return cli_exit::success;
+}
+
+cli_exit show_status(const command_context& context)
+{
+    auto instances = ask_fleet(context);
+    if (!instances)
+    {
+        return cli_exit::failure;
+    }
+    if (context.settings.json)
+    {
+        json::array reports;
+        for (const auto& report : instances->reports())
+        {
+            reports.push_back(report);
+        }
+        context.out << json::serialize(reports) << '\n';
+        return cli_exit::success;
+    }
+    const std::vector<std::pair<std::string, int>> columns{
+        {"name", 16},
+        {"state", 10},
+        {"packets_forwarded", 18},
+        {"replies_delivered", 18},
+        {"cached_flows", 13},
+        {"store_calls", 12}};
+    print_header(context, columns);
+    for (const auto& report : instances->reports())
+    {
+        print_columns(context, report, columns);
+    }
+    context.out << '\n';
+    for (const auto& [id, member] : instances->members())
+    {
+        context.out << std::left << std::setw(16) << member.name << ' '
+                    << std::setw(10) << member.role << ' ' << std::setw(10)
+                    << member.state << ' ' << std::setw(14)
+                    << member.failure_domain << " generation " << member.number
+                    << '\n';
+    }
+    return cli_exit::success;
+}
+
+cli_exit show_upstreams(const command_context& context)
+{
+    auto instances = ask_fleet(context);
+    if (!instances)
+    {
+        return cli_exit::failure;
+    }
+    const auto reports = ask_companions(*instances, "/status");
+    if (context.settings.json)
+    {
+        json::array items(reports.begin(), reports.end());
+        context.out << json::serialize(items) << '\n';
+        return cli_exit::success;
+    }
+    const std::vector<std::pair<std::string, int>> columns{
+        {"name", 16},
+        {"service", 12},
+        {"failure_domain", 14},
+        {"state", 10},
+        {"flows", 7},
+        {"watches", 8},
+        {"in_flight", 10},
+        {"limit", 6},
+        {"upstream_present", 17},
+        {"withdrawn", 10},
+        {"last_upstream_packet_ms_ago", 28}};
+    print_header(context, columns);
+    for (const auto& report : reports)
+    {
+        print_columns(context, report, columns);
+    }
+    return cli_exit::success;
+}
+
+cli_exit show_flows(const command_context& context)
+{
+    auto instances = ask_fleet(context);
+    if (!instances)
+    {
+        return cli_exit::failure;
+    }
+    const auto reports = ask_companions(*instances, "/flows");
+    if (context.settings.json)
+    {
+        json::array items(reports.begin(), reports.end());
+        context.out << json::serialize(items) << '\n';
+        return cli_exit::success;
+    }
+    for (const auto& report : reports)
+    {
+        context.out << text_of(report, "owner") << ": "
+                    << text_of(report, "total") << " flows\n";
+        for (const auto& flow : report.at("flows").as_array())
+        {
+            context.out << "  " << text_of(flow.as_object(), "caller")
+                        << " watches " << text_of(flow.as_object(), "watches")
+                        << '\n';
+        }
+    }
+    return cli_exit::success;
+}
+
+cli_exit show_audit(const command_context& context)
+{
+    cli_exit exit = cli_exit::success;
+    const auto texts = read_audit_texts(context, exit);
+    if (!texts)
+    {
+        return exit;
+    }
+    std::vector<json::object> reports;
+    fleet instances(context.settings.entries);
+    if (!context.settings.entries.empty() && instances.refresh())
+    {
+        reports = instances.reports();
+        const auto companions = ask_companions(instances, "/status");
+        reports.insert(reports.end(), companions.begin(), companions.end());
+    }
+    json::array items;
+    for (const auto& text : *texts)
+    {
+        failure_reason reason;
+        const auto record = parse_audit(text, reason);
+        if (!record)
+        {
+            return report_failure(context, reason);
+        }
+        const auto summary = summarize(reports, record->number);
+        if (context.settings.json)
+        {
+            items.push_back(audit_to_json(*record, summary));
+        }
+        else
+        {
+            print_audit(context, *record, summary);
+        }
+    }
+    if (context.settings.json)
+    {
+        context.out << json::serialize(items) << '\n';
+    }
+    return cli_exit::success;
+}
+
+cli_exit verify_audit(const command_context& context)
+{
+    cli_exit exit = cli_exit::success;
+    const auto texts = read_audit_texts(context, exit);
+    if (!texts)
+    {
+        return exit;
+    }
+    failure_reason reason;
+    const auto count = verify_chain(*texts, reason);
+    if (!count)
+    {
+        return report_failure(context, reason);
+    }
+    context.out << "the chain of " << *count << " records is whole\n";
+    return cli_exit::success;
+}
+
+} // namespace masticslip
--- /dev/null
+++ b/src/coap/libcoap_codec.hpp
@@ -0,0 +1,22 @@
+#pragma once
+/// CoAP codec on libcoap's parser and option encoder; no libcoap session or
+/// socket is used.
+
+#include "masticslip/core/coap_codec.hpp"
+
+namespace masticslip
+{
+
+/// Thread-safe.
+class libcoap_codec final : public coap_codec
+{
+public:
+    libcoap_codec();
+
+    [[nodiscard]] std::optional<coap_message>
+    decode(byte_view datagram) const override;
+
+    [[nodiscard]] bytes encode(const coap_message& message) const override;
+};
+
+} // namespace masticslip
--- /dev/null
+++ b/src/core/configuration.cpp
@@ -0,0 +1,401 @@
+#include "masticslip/core/configuration.hpp"
+
+#include "json_reader.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace masticslip
+{
+
+namespace
+{
+
+namespace json = boost::json;
+using detail::json_reader;
+
+constexpr std::uint64_t schema_version = 1;
+constexpr std::uint64_t max_weight = 100;
+constexpr std::uint64_t max_choice_width = 5;
+constexpr std::uint64_t max_in_flight_limit = 1000;
+constexpr std::uint64_t max_flows_limit = 1'000'000;
+
+std::string item_path(std::string_view list, std::size_t index)
+{
+    return "$." + std::string(list) + "[" + std::to_string(index) + "]";
+}
+
+service_definition read_service(
+    const json::value& value, const std::string& path, failure_reason& reason)
+{
+    json_reader reader(value, path, reason);
+    service_definition result;
+    result.name = reader.text("name", true);
+    const std::string address = reader.text("address", true);
+    const auto parsed = parse_endpoint(address);
+    if (!parsed || parsed->port == 0)
+    {
+        reader.fail("address", "'" + address + "' is not an IPv4:port address");
+    }
+    result.address = parsed.value_or(endpoint{});
+    const std::string protocol = reader.text("protocol", false);
+    if (protocol != "" && protocol != "coap" && protocol != "datagram")
+    {
+        reader.fail("protocol", "must be \"coap\" or \"datagram\"");
+    }
+    result.protocol = protocol == "datagram" ? service_protocol::datagram
+                                             : service_protocol::coap;
+    reader.refuse_unknown_keys();
+    return result;
+}
+
+preset_limits read_limits(
+    const json::value* value, const std::string& path, failure_reason& reason)
+{
+    preset_limits result;
+    if (value == nullptr)
+    {
+        return result;
+    }
+    json_reader reader(*value, path, reason);
+    result.max_in_flight = static_cast<std::uint32_t>(reader.number(
+        "max_in_flight", 1, max_in_flight_limit, result.max_in_flight));
+    result.max_flows = static_cast<std::uint32_t>(
+        reader.number("max_flows", 1, max_flows_limit, result.max_flows));
+    reader.refuse_unknown_keys();
+    return result;
+}
+
+std::map<std::string, std::uint32_t> read_weights(
+    const json::value* value, const std::string& path, failure_reason& reason)
+{
+    std::map<std::string, std::uint32_t> result;
+    if (value == nullptr)
+    {
+        return result;
+    }
+    json_reader reader(*value, path, reason);
+    if (value->is_object())
+    {
+        for (const auto& item : value->get_object())
+        {
+            const auto weight = reader.number(item.key(), 0, max_weight, {});
+            result[std::string(item.key())] =
+                static_cast<std::uint32_t>(weight);
+        }
+    }
+    return result;
+}
+
+preset read_preset(
+    const json::value& value, const std::string& path, failure_reason& reason)
+{
+    json_reader reader(value, path, reason);
+    preset result;
+    result.name = reader.text("name", true);
+    result.choice_width = static_cast<std::uint32_t>(reader.number(
+        "choice_width", 1, max_choice_width, result.choice_width));
+    result.weights = read_weights(
+        reader.member("weights", false), reader.path_of("weights"), reason);
+    result.limits = read_limits(
+        reader.member("limits", false), reader.path_of("limits"), reason);
+    reader.refuse_unknown_keys();
+    return result;
+}
+
+change_record read_change(const json::value* value, failure_reason& reason)
+{
+    change_record result;
+    if (value == nullptr)
+    {
+        return result;
+    }
+    json_reader reader(*value, "$.change", reason);
+    result.id = reader.text("id", false);
+    result.operator_name = reader.text("operator", false);
+    result.reason = reader.text("reason", false);
+    result.previous_hash = reader.text("previous_hash", false);
+    reader.refuse_unknown_keys();
+    return result;
+}
+
+std::vector<std::string>
+read_names(json_reader& reader, std::string_view key, bool required)
+{
+    std::vector<std::string> result;
+    const json::array* items = reader.array(key, required);
+    for (std::size_t i = 0; items != nullptr && i < items->size(); ++i)
+    {
+        const auto* text = (*items)[i].if_string();
+        if (text == nullptr || text->empty())
+        {
+            const std::string index = "[" + std::to_string(i) + "]";
+            reader.fail(std::string(key) + index, "must be a name");
+            return result;
+        }
+        result.emplace_back(*text);
+    }
+    return result;
+}
+
+/// Records a configuration error and returns nullopt.
+std::nullopt_t refuse(
+    failure_reason& reason, const std::string& path, const std::string& problem)
+{
+    reason.code = result_code::config_invalid;
+    reason.text = path + ": " + problem;
+    return std::nullopt;
+}
+
+bool contains(const std::vector<std::string>& names, std::string_view name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+bool check_services(const configuration& value, failure_reason& reason)
+{
+    for (std::size_t i = 0; i < value.services.size(); ++i)
+    {
+        const auto& item = value.services[i];
+        const std::string path = item_path("services", i);
+        if (item.name.empty())
+        {
+            refuse(reason, path + ".name", "must not be empty");
+            return false;
+        }
+        for (std::size_t j = 0; j < i; ++j)
+        {
+            const auto& other = value.services[j];
+            if (make_service_id(other.name) == make_service_id(item.name))
+            {
+                refuse(
+                    reason, path + ".name",
+                    "'" + item.name + "' has the identity of service '" +
+                        other.name + "'");
+                return false;
+            }
+            if (other.address == item.address)
+            {
+                refuse(
+                    reason, path + ".address",
+                    "already used by service '" + other.name + "'");
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+bool check_domains(const configuration& value, failure_reason& reason)
+{
+    for (std::size_t i = 0; i < value.failure_domains.size(); ++i)
+    {
+        const auto& name = value.failure_domains[i];
+        const auto begin = value.failure_domains.begin();
+        const auto end = begin + static_cast<std::ptrdiff_t>(i);
+        if (std::find(begin, end, name) != end)
+        {
+            refuse(
+                reason, item_path("failure_domains", i),
+                "'" + name + "' is named twice");
+            return false;
+        }
+    }
+    for (std::size_t i = 0; i < value.withdrawn_domains.size(); ++i)
+    {
+        const auto& name = value.withdrawn_domains[i];
+        if (!contains(value.failure_domains, name))
+        {
+            refuse(
+                reason, item_path("withdrawn_domains", i),
+                "'" + name + "' is not a failure domain");
+            return false;
+        }
+    }
+    return true;
+}
+
+bool check_presets(const configuration& value, failure_reason& reason)
+{
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i < value.presets.size(); ++i)
+    {
+        const auto& item = value.presets[i];
+        const std::string path = item_path("presets", i);
+        if (item.name.empty() || contains(names, item.name))
+        {
+            refuse(reason, path + ".name", "must be given and be unique");
+            return false;
+        }
+        names.push_back(item.name);
+        for (const auto& [domain, weight] : item.weights)
+        {
+            if (!contains(value.failure_domains, domain))
+            {
+                refuse(
+                    reason, path + ".weights." + domain,
+                    "not a failure domain");
+                return false;
+            }
+        }
+    }
+    if (!contains(names, value.preset_in_force))
+    {
+        refuse(
+            reason, "$.preset_in_force",
+            "'" + value.preset_in_force + "' is not a preset");
+        return false;
+    }
+    return true;
+}
+
+configuration read_document(const json::value& root, failure_reason& reason)
+{
+    json_reader reader(root, "$", reason);
+    configuration result;
+    reader.number("schema", schema_version, schema_version, {});
+    result.number = reader.number(
+        "generation", 0, std::numeric_limits<std::int64_t>::max(), 0);
+    result.change = read_change(reader.member("change", false), reason);
+    const auto* services = reader.array("services", true);
+    for (std::size_t i = 0; services != nullptr && i < services->size(); ++i)
+    {
+        result.services.push_back(
+            read_service((*services)[i], item_path("services", i), reason));
+    }
+    result.failure_domains = read_names(reader, "failure_domains", true);
+    result.withdrawn_domains = read_names(reader, "withdrawn_domains", false);
+    const auto* presets = reader.array("presets", true);
+    for (std::size_t i = 0; presets != nullptr && i < presets->size(); ++i)
+    {
+        result.presets.push_back(
+            read_preset((*presets)[i], item_path("presets", i), reason));
+    }
+    result.preset_in_force = reader.text("preset_in_force", true);
+    reader.refuse_unknown_keys();
+    return result;
+}
+
+json::array names_to_json(const std::vector<std::string>& names)
+{
+    json::array result;
+    for (const auto& name : names)
+    {
+        result.emplace_back(name);
+    }
+    return result;
+}
+
+json::object preset_to_json(const preset& item)
+{
+    json::object weights;
+    for (const auto& [domain, weight] : item.weights)
+    {
+        weights[domain] = weight;
+    }
+    return {
+        {"name", item.name},
+        {"choice_width", item.choice_width},
+        {"weights", weights},
+        {"limits",
+         {{"max_in_flight", item.limits.max_in_flight},
+          {"max_flows", item.limits.max_flows}}}};
+}
+
+json::object service_to_json(const service_definition& item)
+{
+    const bool coap = item.protocol == service_protocol::coap;
+    return {
+        {"name", item.name},
+        {"address", to_string(item.address)},
+        {"protocol", coap ? "coap" : "datagram"}};
+}
+
+} // namespace
+
+const preset& configuration::active_preset() const
+{
+    return *std::find_if(
+        this->presets.begin(), this->presets.end(),
+        [this](const preset& item)
+        { return item.name == this->preset_in_force; });
+}
+
+bool configuration::is_withdrawn(std::string_view domain) const
+{
+    return contains(this->withdrawn_domains, domain);
+}
+
+const service_definition* configuration::find_service(service_id id) const
+{
+    const auto found = std::find_if(
+        this->services.begin(), this->services.end(),
+        [id](const service_definition& item)
+        { return make_service_id(item.name) == id; });
+    return found == this->services.end() ? nullptr : &*found;
+}
+
+std::optional<configuration>
+parse_configuration(std::string_view text, failure_reason& reason)
+{
+    reason = {};
+    if (text.size() > max_document_size)
+    {
+        return refuse(
+            reason, "$",
+            "larger than " + std::to_string(max_document_size) + " bytes");
+    }
+    json::error_code error;
+    const json::value root = json::parse(text, error);
+    if (error)
+    {
+        return refuse(reason, "$", "not JSON: " + error.message());
+    }
+    configuration value = read_document(root, reason);
+    if (reason.code != result_code::done)
+    {
+        return std::nullopt;
+    }
+    return check_configuration(std::move(value), reason);
+}
+
+std::optional<configuration>
+check_configuration(configuration value, failure_reason& reason)
+{
+    if (!check_services(value, reason) || !check_domains(value, reason) ||
+        !check_presets(value, reason))
+    {
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::string serialize_configuration(const configuration& value)
+{
+    json::array services;
+    for (const auto& item : value.services)
+    {
+        services.emplace_back(service_to_json(item));
+    }
+    json::array presets;
+    for (const auto& item : value.presets)
+    {
+        presets.emplace_back(preset_to_json(item));
+    }
+    const json::object root{
+        {"schema", schema_version},
+        {"generation", value.number},
+        {"change",
+         {{"id", value.change.id},
+          {"operator", value.change.operator_name},
+          {"reason", value.change.reason},
+          {"previous_hash", value.change.previous_hash}}},
+        {"services", services},
+        {"failure_domains", names_to_json(value.failure_domains)},
+        {"withdrawn_domains", names_to_json(value.withdrawn_domains)},
+        {"presets", presets},
+        {"preset_in_force", value.preset_in_force}};
+    return json::serialize(root);
+}
+
+} // namespace masticslip
--- /dev/null
+++ b/src/core/entry_core.cpp
@@ -0,0 +1,369 @@
+#include "masticslip/core/entry_core.hpp"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+namespace masticslip
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr duration freeze_limit = 1s;
+constexpr duration freeze_give_up = 5s;
+constexpr duration acknowledge_timeout = 30ms;
+constexpr std::size_t max_pending = 4096;
+constexpr std::size_t store_watchers = 2;
+constexpr std::chrono::seconds refusal_retry_after = 2s;
+constexpr std::uint64_t store_watch_hash = 0x73746f7265;
+
+member_record make_self(const entry_settings& settings)
+{
+    member_record self;
+    self.id = settings.self;
+    self.life = settings.life;
+    self.version = 1;
+    self.role = member_role::entry;
+    self.admin = settings.admin;
+    self.failure_domain = settings.failure_domain;
+    self.name = settings.name;
+    return self;
+}
+
+} // namespace
+
+entry_core::entry_core(
+    entry_settings settings, entry_output& output, event_sink& events)
+    : settings(std::move(settings)), output(output), events(events),
+      configs(output, events),
+      heartbeats(output, make_self(this->settings), this->settings.seeds),
+      membership(
+          output, events, this->settings.self, this->settings.random_seed),
+      freeze(freeze_limit, freeze_give_up),
+      owners(this->settings.cache_capacity)
+{
+    this->membership.announce_self({}, this->heartbeats.self());
+    this->membership.set_usable_filter([this](const member_record& record)
+                                       { return !this->is_withdrawn(record); });
+    this->configs.set_changed_handler([this](time_point now)
+                                      { this->on_configuration_changed(now); });
+}
+
+void entry_core::on_caller_packet(
+    time_point now,
+    const flow_key& flow,
+    byte_view payload,
+    const trace_context& trace)
+{
+    if (!this->may_act(now))
+    {
+        this->drop(now, flow, result_code::dropped_stale);
+        return;
+    }
+    if (!this->configs.current() ||
+        this->configs.current()->find_service(flow.service) == nullptr)
+    {
+        this->drop(now, flow, result_code::not_run_no_configuration);
+        return;
+    }
+    forward_message message;
+    message.flow = flow;
+    message.entry = this->settings.self;
+    message.trace = trace;
+    message.payload = payload;
+    const instance_id owner = this->owners.find(flow);
+    if (owner != instance_id{} && this->is_usable_owner(owner))
+    {
+        message.mode = forward_mode::owner;
+        this->send_forward(now, owner, message);
+        return;
+    }
+    this->send_look_up(now, message, payload);
+}
+
+void entry_core::on_message(
+    time_point now,
+    const message_header& header,
+    const internal_message& message)
+{
+    this->may_act(now);
+    this->configs.on_header(now, header);
+    std::visit(
+        [&](const auto& body)
+        {
+            using type = std::decay_t<decltype(body)>;
+            if constexpr (std::is_same_v<type, reply_message>)
+            {
+                this->handle_reply(now, header, body);
+            }
+            else if constexpr (std::is_same_v<type, forward_ack>)
+            {
+                this->pending.erase(body.sequence);
+            }
+            else if constexpr (
+                std::is_same_v<type, config_request> ||
+                std::is_same_v<type, config_push>)
+            {
+                this->configs.on_message(now, header, body);
+            }
+            else if constexpr (
+                std::is_same_v<type, heartbeat> ||
+                std::is_same_v<type, gossip_message> ||
+                std::is_same_v<type, digest_message>)
+            {
+                this->membership.on_message(now, header, body);
+            }
+            else if constexpr (std::is_same_v<type, heartbeat_answer>)
+            {
+                this->freeze.on_answer(body.heartbeat_sent);
+                if (this->heartbeats.on_answer(now, header, body))
+                {
+                    this->membership.announce_self(
+                        now, this->heartbeats.self());
+                }
+            }
+        },
+        message);
+}
+
+void entry_core::on_tick(time_point now)
+{
+    this->may_act(now);
+    this->heartbeats.on_tick(now);
+    this->membership.on_tick(now);
+    this->retry_pending(now);
+}
+
+bool entry_core::offer_configuration(
+    time_point now, std::string_view document, failure_reason& reason)
+{
+    return this->configs.offer(now, document, reason);
+}
+
+void entry_core::start_drain(time_point now)
+{
+    this->heartbeats.set_state(now, member_state::draining);
+    this->membership.announce_self(now, this->heartbeats.self());
+    core_event event;
+    event.kind = event_kind::drain_started;
+    this->events.on_event(now, event);
+}
+
+bool entry_core::is_store_watcher() const
+{
+    std::vector<weighted_instance> candidates;
+    for (const instance_id id : this->members().entries())
+    {
+        candidates.push_back({id, 1});
+    }
+    const auto chosen =
+        rank_candidates(store_watch_hash, candidates, store_watchers);
+    return std::find(chosen.begin(), chosen.end(), this->settings.self) !=
+           chosen.end();
+}
+
+bool entry_core::may_act(time_point now)
+{
+    if (this->freeze.observe(now))
+    {
+        core_event event;
+        event.kind = event_kind::freeze_detected;
+        this->events.on_event(now, event);
+        this->membership.forgive_silence(now);
+        this->heartbeats.send_now(now);
+    }
+    const bool alone = this->members().entries().size() <= 1;
+    return (alone || !this->freeze.must_wait(now)) &&
+           this->configs.caught_up(now);
+}
+
+bool entry_core::is_usable_owner(instance_id owner)
+{
+    const member_record* record = this->members().find(owner);
+    return record != nullptr && record->state != member_state::left &&
+           record->state != member_state::suspect &&
+           !this->is_withdrawn(*record);
+}
+
+bool entry_core::is_withdrawn(const member_record& record) const
+{
+    const auto& current = this->configs.current();
+    return current && current->is_withdrawn(record.failure_domain);
+}
+
+const entry_core::service_view& entry_core::view_of(service_id service)
+{
+    service_view& view = this->views[service];
+    const auto revision = this->members().revision();
+    if (view.revision == revision && view.number == this->configs.number())
+    {
+        return view;
+    }
+    view = {revision, this->configs.number(), {}, {}};
+    const preset& active = this->configs.current()->active_preset();
+    for (const instance_id id : this->members().companions_of(service))
+    {
+        const member_record& record = *this->members().find(id);
+        if (this->is_withdrawn(record))
+        {
+            continue;
+        }
+        const auto weight = active.weights.find(record.failure_domain);
+        const std::uint32_t share =
+            weight == active.weights.end() ? 1 : weight->second;
+        const bool takes_work =
+            record.state == member_state::serving && share > 0;
+        auto& list = takes_work ? view.serving : view.others;
+        list.push_back({id, std::max(share, 1U)});
+    }
+    return view;
+}
+
+candidate_list entry_core::candidates_for(const flow_key& flow)
+{
+    const service_view& view = this->view_of(flow.service);
+    const std::uint64_t key = hash_flow(flow);
+    candidate_list result;
+    for (const instance_id id :
+         rank_candidates(key, view.serving, max_candidates))
+    {
+        result.add(id);
+    }
+    for (const instance_id id :
+         rank_candidates(key, view.others, max_candidates))
+    {
+        result.add(id);
+    }
+    return result;
+}
+
+void entry_core::send_look_up(
+    time_point now, forward_message& message, byte_view payload)
+{
+    message.mode = forward_mode::look_up;
+    message.candidates = this->candidates_for(message.flow);
+    if (message.candidates.count == 0)
+    {
+        this->output.refuse_caller(
+            message.flow, payload, result_code::not_run_no_upstream,
+            refusal_retry_after);
+        core_event event;
+        event.kind = event_kind::request_refused;
+        event.code = result_code::not_run_no_upstream;
+        event.flow = message.flow;
+        this->events.on_event(now, event);
+        return;
+    }
+    if (this->pending.size() < max_pending)
+    {
+        message.sequence = this->next_sequence++;
+        pending_packet& kept = this->pending[message.sequence];
+        kept.message = message;
+        kept.payload.assign(payload.begin(), payload.end());
+        kept.retry_at = now + acknowledge_timeout;
+    }
+    this->send_forward(now, message.candidates.ids[0], message);
+}
+
+void entry_core::send_forward(
+    time_point now, instance_id to, const forward_message& message)
+{
+    this->output.send(to, message);
+    const member_record* record = this->members().find(to);
+    if (record != nullptr)
+    {
+        domain_evidence& seen = this->domain_packets[record->failure_domain];
+        seen.last_packet = now;
+        ++seen.packets;
+    }
+    core_event event;
+    event.kind = event_kind::packet_forwarded;
+    event.flow = message.flow;
+    event.peer = to;
+    event.trace = message.trace;
+    this->events.on_event(now, event);
+}
+
+void entry_core::retry_pending(time_point now)
+{
+    for (auto item = this->pending.begin(); item != this->pending.end();)
+    {
+        pending_packet& kept = item->second;
+        if (now < kept.retry_at)
+        {
+            ++item;
+            continue;
+        }
+        const auto candidates = kept.message.candidates.view();
+        if (kept.next_candidate >= candidates.size())
+        {
+            item = this->pending.erase(item);
+            continue;
+        }
+        const instance_id target = candidates[kept.next_candidate++];
+        if (!this->is_usable_owner(target))
+        {
+            continue;
+        }
+        kept.retry_at = now + acknowledge_timeout;
+        kept.message.payload = kept.payload;
+        this->send_forward(now, target, kept.message);
+        core_event event;
+        event.kind = event_kind::packet_retried;
+        event.flow = kept.message.flow;
+        event.peer = target;
+        this->events.on_event(now, event);
+        ++item;
+    }
+}
+
+void entry_core::handle_reply(
+    time_point now, const message_header& header, const reply_message& message)
+{
+    if (message.from_owner)
+    {
+        this->owners.store(message.flow, header.sender);
+    }
+    this->output.send_to_caller(message.flow, message.payload);
+    core_event event;
+    event.kind = event_kind::reply_delivered;
+    event.flow = message.flow;
+    event.peer = header.sender;
+    event.trace = message.trace;
+    this->events.on_event(now, event);
+}
+
+void entry_core::drop(time_point now, const flow_key& flow, result_code code)
+{
+    core_event event;
+    event.kind = event_kind::packet_dropped;
+    event.code = code;
+    event.flow = flow;
+    this->events.on_event(now, event);
+}
+
+void entry_core::on_configuration_changed(time_point now)
+{
+    this->output.on_configuration(*this->configs.current());
+    this->membership.nudge_peers();
+    for (const auto& [id, record] : this->members().all())
+    {
+        const auto watchers =
+            record.role == member_role::companion
+                ? detail::choose_watchers(id, this->members().entries())
+                : std::vector<instance_id>{};
+        const bool mine =
+            std::find(watchers.begin(), watchers.end(), this->settings.self) !=
+            watchers.end();
+        if (mine && record.state != member_state::left)
+        {
+            this->output.send(id, gossip_message{});
+        }
+    }
+    static_cast<void>(now);
+}
+
+} // namespace masticslip
--- /dev/null
+++ b/src/core/execution_records.cpp
@@ -0,0 +1,88 @@
+#include "masticslip/core/execution_records.hpp"
+
+#include <xxhash.h>
+
+std::size_t std::hash<masticslip::request_key>::operator()(
+    const masticslip::request_key& key) const
+{
+    return XXH3_64bits_withSeed(
+        key.tag.data(), key.tag.size(), masticslip::hash_flow(key.flow));
+}
+
+namespace masticslip
+{
+
+request_key make_request_key(const flow_key& flow, const coap_message& request)
+{
+    request_key key{flow, {}};
+    const auto* tag = request.find(coap_option_number::request_tag);
+    key.tag = tag != nullptr ? tag->value : request.token;
+    key.tag.push_back(tag != nullptr ? 1 : 0);
+    if (const auto* block = request.find(coap_option_number::block1))
+    {
+        key.tag.insert(key.tag.end(), block->value.begin(), block->value.end());
+    }
+    return key;
+}
+
+const execution_record* execution_records::find(const request_key& key) const
+{
+    const auto found = this->records.find(key);
+    return found == this->records.end() ? nullptr : &found->second;
+}
+
+bool execution_records::begin(time_point now, const request_key& key)
+{
+    if (this->records.size() >= this->capacity)
+    {
+        return false;
+    }
+    this->records[key] = {std::nullopt, std::nullopt, now + this->window};
+    return true;
+}
+
+void execution_records::finish(
+    time_point now, const request_key& key, const coap_message& answer)
+{
+    const auto found = this->records.find(key);
+    if (found == this->records.end())
+    {
+        return;
+    }
+    found->second.answer = answer;
+    found->second.expires = now + this->window;
+    this->expiries.push_back({found->second.expires, key});
+}
+
+bool execution_records::transfer(
+    time_point now, const request_key& key, instance_life target)
+{
+    if (!this->begin(now, key))
+    {
+        return false;
+    }
+    auto& record = this->records[key];
+    record.transferred_to = target;
+    this->expiries.push_back({record.expires, key});
+    return true;
+}
+
+void execution_records::forget(const request_key& key)
+{
+    this->records.erase(key);
+}
+
+void execution_records::expire(time_point now)
+{
+    while (!this->expiries.empty() && this->expiries.front().when <= now)
+    {
+        const auto found = this->records.find(this->expiries.front().key);
+        if (found != this->records.end() && found->second.expires <= now)
+        {
+            this->records.erase(found);
+        }
+        this->expiries.pop_front();
+    }
+}
+
+} // namespace masticslip
--- /dev/null
+++ b/src/core/flow_cache.cpp
@@ -0,0 +1,64 @@
+#include "masticslip/core/flow_cache.hpp"
+
+#include <algorithm>
+
+namespace masticslip
+{
+
+flow_cache::flow_cache(std::size_t capacity)
+    : half(std::max<std::size_t>(capacity / 2, 1))
+{
+    this->young.reserve(this->half);
+    this->old.reserve(this->half);
+}
+
+instance_id flow_cache::find(const flow_key& flow)
+{
+    const auto fresh = this->young.find(flow);
+    if (fresh != this->young.end())
+    {
+        return fresh->second;
+    }
+    const auto aged = this->old.find(flow);
+    if (aged == this->old.end())
+    {
+        return {};
+    }
+    const instance_id owner = aged->second;
+    this->store(flow, owner);
+    return owner;
+}
+
+void flow_cache::store(const flow_key& flow, instance_id owner)
+{
+    const auto known = this->young.find(flow);
+    if (known != this->young.end())
+    {
+        known->second = owner;
+        return;
+    }
+    if (this->young.size() >= this->half)
+    {
+        this->old.swap(this->young);
+        this->young.clear();
+    }
+    this->young.emplace(flow, owner);
+}
+
+void flow_cache::erase(const flow_key& flow)
+{
+    this->young.erase(flow);
+    this->old.erase(flow);
+}
+
+std::size_t flow_cache::memory() const
+{
+    // One metadata byte accompanies each slot of boost::unordered_flat_map.
+    constexpr std::size_t slot = sizeof(table::value_type) + 1;
+    const double load = this->young.max_load_factor();
+    const double slots =
+        double(this->young.max_load() + this->old.max_load()) / load;
+    return static_cast<std::size_t>(slots * double(slot));
+}
+
+} // namespace masticslip
--- /dev/null
+++ b/src/core/json_reader.hpp
@@ -0,0 +1,147 @@
+#pragma once
+/// Strict reading of JSON objects: every key must be asked for, and each
+/// error names the path of the key.
+
+#include "masticslip/core/failure_reason.hpp"
+
+#include <boost/json.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace masticslip::detail
+{
+
+/// Reads the members of one JSON object and collects the first error.
+class json_reader
+{
+public:
+    /// The value and reason must outlive the reader. An error that was
+    /// recorded earlier in `reason` is kept.
+    json_reader(
+        const boost::json::value& value,
+        std::string path,
+        failure_reason& reason)
+        : path(std::move(path)), reason(reason)
+    {
+        this->object = value.if_object();
+        if (this->object == nullptr)
+        {
+            this->fail("", "must be an object");
+        }
+    }
+
+    /// Returns the member, or null (an error if it is required).
+    const boost::json::value* member(std::string_view key, bool required)
+    {
+        this->known.insert(std::string(key));
+        if (this->object == nullptr)
+        {
+            return nullptr;
+        }
+        const auto* found = this->object->if_contains(key);
+        if (found == nullptr && required)
+        {
+            this->fail(key, "is missing");
+        }
+        return found;
+    }
+
+    /// Reads a text member; missing and not required gives an empty text.
+    std::string text(std::string_view key, bool required)
+    {
+        const auto* found = this->member(key, required);
+        if (found == nullptr)
+        {
+            return {};
+        }
+        if (!found->is_string())
+        {
+            this->fail(key, "must be a string");
+            return {};
+        }
+        return std::string(found->as_string());
+    }
+
+    /// Reads a whole number within [low, high].
+    std::uint64_t number(
+        std::string_view key,
+        std::uint64_t low,
+        std::uint64_t high,
+        std::optional<std::uint64_t> fallback)
+    {
+        const auto* found = this->member(key, !fallback.has_value());
+        if (found == nullptr)
+        {
+            return fallback.value_or(low);
+        }
+        boost::json::error_code error;
+        const auto value = found->to_number<std::uint64_t>(error);
+        if (error || value < low || value > high)
+        {
+            this->fail(
+                key, "must be a whole number from " + std::to_string(low) +
+                         " to " + std::to_string(high));
+            return low;
+        }
+        return value;
+    }
+
+    /// Returns an array member, or null.
+    const boost::json::array* array(std::string_view key, bool required)
+    {
+        const auto* found = this->member(key, required);
+        if (found == nullptr)
+        {
+            return nullptr;
+        }
+        if (!found->is_array())
+        {
+            this->fail(key, "must be an array");
+        }
+        return found->if_array();
+    }
+
+    /// Refuses members that nobody asked for.
+    void refuse_unknown_keys()
+    {
+        if (this->object == nullptr)
+        {
+            return;
+        }
+        for (const auto& item : *this->object)
+        {
+            if (!this->known.contains(std::string(item.key())))
+            {
+                this->fail(item.key(), "unknown key");
+            }
+        }
+    }
+
+    /// Records an error, unless one was recorded before.
+    void fail(std::string_view key, const std::string& problem)
+    {
+        if (this->reason.code == result_code::done)
+        {
+            this->reason.code = result_code::config_invalid;
+            this->reason.text = this->path_of(key) + ": " + problem;
+        }
+    }
+
+    /// Path of a member for messages, as `$.services[0].name`.
+    [[nodiscard]] std::string path_of(std::string_view key) const
+    {
+        return key.empty() ? this->path : this->path + "." + std::string(key);
+    }
+
+private:
+    const boost::json::object* object = nullptr;
+    std::string path;
+    failure_reason& reason;
+    std::set<std::string> known;
+};
+
+} // namespace masticslip::detail
--- /dev/null
+++ b/src/core/membership_controller.cpp
@@ -0,0 +1,348 @@
+#include "masticslip/core/detail/membership_controller.hpp"
+
+#include "masticslip/core/detail/heartbeat_controller.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace masticslip::detail
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr duration gossip_interval = 200ms;
+constexpr duration digest_interval = 2s;
+constexpr duration judgement_interval = 100ms;
+constexpr duration suspect_after = 1500ms;
+constexpr duration remove_after = 3s;
+constexpr duration forget_after = 10min;
+constexpr std::size_t gossip_fanout = 3;
+constexpr std::size_t gossip_batch = 16;
+constexpr std::size_t repair_batch = 64;
+constexpr std::size_t listed_entries = 16;
+constexpr std::uint32_t base_sends = 2;
+
+std::size_t bucket_of(instance_id id)
+{
+    return hash_pair(id.value, 1) % digest_buckets;
+}
+
+std::uint64_t fingerprint(const member_record& record)
+{
+    const auto state = static_cast<std::uint64_t>(record.state);
+    const auto version = (std::uint64_t{record.version} << 8U) | state;
+    return hash_pair(hash_pair(record.id.value, record.life.value), version);
+}
+
+} // namespace
+
+membership_controller::membership_controller(
+    internal_output& output,
+    event_sink& events,
+    instance_id self,
+    std::uint64_t random_seed)
+    : output(output), events(events), self(self), random(random_seed)
+{
+}
+
+void membership_controller::on_tick(time_point now)
+{
+    if (now >= this->next_gossip)
+    {
+        this->next_gossip = now + gossip_interval;
+        this->send_gossip();
+    }
+    if (now >= this->next_digest)
+    {
+        this->next_digest = now + digest_interval;
+        this->send_digest();
+        this->forget_departed(now);
+    }
+    if (now >= this->next_judgement)
+    {
+        this->next_judgement = now + judgement_interval;
+        this->judge_silence(now);
+    }
+}
+
+void membership_controller::on_message(
+    time_point now, const message_header& header, const heartbeat& message)
+{
+    if (message.self.id != header.sender)
+    {
+        return;
+    }
+    this->merge(now, message.self);
+    auto& seen = this->observations[header.sender];
+    seen.last_heard = now;
+    seen.in_force = header.newest;
+    const member_record* known = this->members.find(header.sender);
+    if (known->state == member_state::serving ||
+        known->state == member_state::draining)
+    {
+        seen.suspected = {};
+    }
+    this->answer_heartbeat(header, message);
+}
+
+void membership_controller::on_message(
+    time_point now, const message_header&, const gossip_message& message)
+{
+    for (const auto& record : message.records)
+    {
+        if (record.id != this->self)
+        {
+            this->merge(now, record);
+        }
+    }
+}
+
+void membership_controller::on_message(
+    time_point, const message_header& header, const digest_message& message)
+{
+    const digest_message mine = this->make_digest();
+    gossip_message repair;
+    for (const auto& [id, record] : this->members.all())
+    {
+        const std::size_t bucket = bucket_of(id);
+        if (mine.buckets.at(bucket) == message.buckets.at(bucket))
+        {
+            continue;
+        }
+        repair.records.push_back(record);
+        if (repair.records.size() == repair_batch)
+        {
+            this->output.send(header.sender, repair);
+            repair.records.clear();
+        }
+    }
+    if (!repair.records.empty())
+    {
+        this->output.send(header.sender, repair);
+    }
+}
+
+void membership_controller::announce_self(
+    time_point now, const member_record& record)
+{
+    this->merge(now, record);
+}
+
+void membership_controller::forgive_silence(time_point now)
+{
+    for (auto& [id, seen] : this->observations)
+    {
+        seen.last_heard = now;
+    }
+}
+
+void membership_controller::nudge_peers()
+{
+    for (const instance_id peer : this->random_peers(gossip_fanout))
+    {
+        this->output.send(peer, gossip_message{});
+    }
+}
+
+digest_message membership_controller::make_digest() const
+{
+    digest_message digest;
+    for (const auto& [id, record] : this->members.all())
+    {
+        digest.buckets.at(bucket_of(id)) ^= fingerprint(record);
+    }
+    return digest;
+}
+
+bool membership_controller::merge(time_point now, const member_record& record)
+{
+    const bool is_new = this->members.find(record.id) == nullptr;
+    if (!this->members.merge(record))
+    {
+        return false;
+    }
+    const auto peers = static_cast<double>(this->members.entries().size());
+    const auto rounds = static_cast<std::uint32_t>(std::log2(peers + 1));
+    this->deltas.push_back({record.id, base_sends + rounds});
+    if (is_new)
+    {
+        this->observations[record.id].last_heard = now;
+    }
+    if (record.state == member_state::left)
+    {
+        this->departed[record.id] = now;
+    }
+    core_event event;
+    event.kind = event_kind::member_changed;
+    event.peer = record.id;
+    event.detail = to_string(record.state);
+    this->events.on_event(now, event);
+    return true;
+}
+
+void membership_controller::send_gossip()
+{
+    if (this->deltas.empty())
+    {
+        return;
+    }
+    gossip_message message;
+    const std::size_t count = std::min(gossip_batch, this->deltas.size());
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        pending_delta delta = this->deltas.front();
+        this->deltas.pop_front();
+        const member_record* record = this->members.find(delta.id);
+        if (record != nullptr)
+        {
+            message.records.push_back(*record);
+        }
+        if (--delta.sends_left > 0)
+        {
+            this->deltas.push_back(delta);
+        }
+    }
+    for (const instance_id peer : this->random_peers(gossip_fanout))
+    {
+        this->output.send(peer, message);
+    }
+}
+
+void membership_controller::send_digest()
+{
+    for (const instance_id peer : this->random_peers(1))
+    {
+        this->output.send(peer, this->make_digest());
+    }
+}
+
+void membership_controller::judge_silence(time_point now)
+{
+    std::vector<member_record> silent;
+    for (const auto& [id, seen] : this->observations)
+    {
+        const member_record* record = this->members.find(id);
+        const bool present = record != nullptr && id != this->self &&
+                             record->state != member_state::left;
+        if (present && now - seen.last_heard > suspect_after)
+        {
+            silent.push_back(*record);
+        }
+    }
+    for (const auto& record : silent)
+    {
+        this->judge(now, record);
+    }
+}
+
+void membership_controller::judge(time_point now, const member_record& record)
+{
+    const auto watchers = choose_watchers(record.id, this->members.entries());
+    const bool mine = std::find(watchers.begin(), watchers.end(), this->self) !=
+                      watchers.end();
+    auto& seen = this->observations[record.id];
+    if (!mine)
+    {
+        // Another entry judges; the clock starts over if the duty moves here.
+        seen.last_heard = now;
+        return;
+    }
+    if (record.state != member_state::suspect)
+    {
+        seen.suspected = now;
+        this->change_state(now, record, member_state::suspect);
+        return;
+    }
+    if (seen.suspected == time_point{})
+    {
+        seen.suspected = now;
+    }
+    if (now - seen.suspected > remove_after)
+    {
+        this->change_state(now, record, member_state::left);
+    }
+}
+
+void membership_controller::change_state(
+    time_point now, const member_record& record, member_state state)
+{
+    member_record changed = record;
+    changed.state = state;
+    ++changed.version;
+    this->merge(now, changed);
+}
+
+void membership_controller::forget_departed(time_point now)
+{
+    std::erase_if(
+        this->departed,
+        [this, now](const auto& item)
+        {
+            const member_record* record = this->members.find(item.first);
+            const bool returned =
+                record == nullptr || record->state != member_state::left;
+            const bool expired = now - item.second > forget_after;
+            if (!returned && expired)
+            {
+                this->members.erase(item.first);
+                this->observations.erase(item.first);
+            }
+            return returned || expired;
+        });
+}
+
+void membership_controller::answer_heartbeat(
+    const message_header& header, const heartbeat& message)
+{
+    heartbeat_answer answer;
+    answer.heartbeat_sent = message.sent;
+    answer.known = *this->members.find(header.sender);
+    std::vector<instance_id> serving;
+    for (const instance_id id : this->members.entries())
+    {
+        if (this->members.find(id)->state == member_state::serving)
+        {
+            serving.push_back(id);
+        }
+    }
+    answer.entries = choose_watchers(header.sender, serving);
+    for (const instance_id id : serving)
+    {
+        const bool listed =
+            std::find(answer.entries.begin(), answer.entries.end(), id) !=
+            answer.entries.end();
+        if (!listed && answer.entries.size() < listed_entries)
+        {
+            answer.entries.push_back(id);
+        }
+    }
+    for (const instance_id id :
+         this->members.companions_of(answer.known.service))
+    {
+        const member_record& record = *this->members.find(id);
+        const bool wanted = record.state == member_state::serving &&
+                            (!this->usable || this->usable(record));
+        if (wanted && answer.siblings.size() < max_candidates)
+        {
+            answer.siblings.push_back({id, record.life});
+        }
+    }
+    this->output.send(header.sender, answer);
+}
+
+std::vector<instance_id> membership_controller::random_peers(std::size_t count)
+{
+    std::vector<instance_id> peers = this->members.entries();
+    std::erase(peers, this->self);
+    std::vector<instance_id> chosen;
+    std::sample(
+        peers.begin(), peers.end(), std::back_inserter(chosen), count,
+        this->random);
+    return chosen;
+}
+
+} // namespace masticslip::detail
--- /dev/null
+++ b/src/core/ownership_controller.cpp
@@ -0,0 +1,416 @@
+#include "masticslip/core/detail/ownership_controller.hpp"
+
+#include "masticslip/core/rendezvous.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace masticslip::detail
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr duration query_repeat_after = 20ms;
+constexpr duration look_up_timeout = 60ms;
+constexpr duration redirect_lifetime = 10min;
+constexpr duration cleaning_interval = 1s;
+constexpr std::size_t max_held_packets = 8;
+constexpr std::size_t max_look_ups = 4096;
+constexpr std::size_t max_redirects = 65'536;
+constexpr std::uint8_t max_hops = 4;
+
+} // namespace
+
+void ownership_controller::on_packet(
+    time_point now, const forward_message& message)
+{
+    owned_flow* known = this->find(message.flow);
+    const bool take = known != nullptr ||
+                      message.mode == forward_mode::transfer ||
+                      message.mode == forward_mode::bound;
+    if (take)
+    {
+        if (known != nullptr || message.moves_flow)
+        {
+            this->own(now, message.flow, message.entry);
+        }
+        this->receiver.on_owned_packet(now, message);
+        return;
+    }
+    if (message.mode == forward_mode::create)
+    {
+        if (this->may_create(message))
+        {
+            this->own(now, message.flow, message.entry);
+            this->receiver.on_owned_packet(now, message);
+        }
+        return;
+    }
+    if (!this->follow_redirect(now, message))
+    {
+        this->start_look_up(now, message);
+    }
+}
+
+void ownership_controller::on_message(
+    time_point, const message_header& header, const flow_query& query)
+{
+    flow_query_answer answer;
+    answer.flow = query.flow;
+    answer.query = query.query;
+    answer.in_flight = this->context.in_flight;
+    answer.limit = this->context.limit->limit();
+    answer.flows = static_cast<std::uint32_t>(this->owned.size());
+    answer.admits = this->context.admits();
+    const auto redirected = this->redirects.find(query.flow);
+    if (this->owned.contains(query.flow))
+    {
+        answer.knowledge = flow_knowledge::owned;
+        answer.owner = this->context.settings.self;
+    }
+    else if (redirected != this->redirects.end())
+    {
+        answer.knowledge = flow_knowledge::redirected;
+        answer.owner = redirected->second.target;
+    }
+    else if (this->look_ups.contains(query.flow))
+    {
+        answer.knowledge = flow_knowledge::looking_up;
+    }
+    this->context.output.send(header.sender, answer);
+}
+
+void ownership_controller::on_message(
+    time_point now,
+    const message_header& header,
+    const flow_query_answer& answer)
+{
+    const auto found = this->look_ups.find(answer.flow);
+    if (found == this->look_ups.end() || found->second.query != answer.query)
+    {
+        return;
+    }
+    look_up& state = found->second;
+    if (answer.knowledge == flow_knowledge::owned)
+    {
+        this->resolve(now, answer.flow, header.sender, forward_mode::owner);
+        return;
+    }
+    const bool useful_redirect =
+        answer.knowledge == flow_knowledge::redirected &&
+        answer.owner != this->context.settings.self &&
+        std::find(
+            state.unanswered.begin(), state.unanswered.end(), answer.owner) !=
+            state.unanswered.end();
+    if (useful_redirect)
+    {
+        this->resolve(now, answer.flow, answer.owner, forward_mode::owner);
+        return;
+    }
+    const bool yields = answer.knowledge == flow_knowledge::looking_up &&
+                        this->outranks_self(answer.flow, header.sender);
+    if (yields)
+    {
+        this->resolve(now, answer.flow, header.sender, forward_mode::look_up);
+        return;
+    }
+    std::erase(state.unanswered, header.sender);
+    for (auto& candidate : state.candidates)
+    {
+        if (candidate.id == header.sender)
+        {
+            candidate.in_flight = answer.in_flight;
+            candidate.limit = answer.limit;
+            candidate.flows = answer.flows;
+            candidate.admits = answer.admits;
+        }
+    }
+    if (state.unanswered.empty())
+    {
+        this->conclude(now, answer.flow);
+    }
+}
+
+void ownership_controller::on_tick(time_point now)
+{
+    std::vector<flow_key> due;
+    for (auto& [flow, state] : this->look_ups)
+    {
+        if (now - state.started >= look_up_timeout)
+        {
+            due.push_back(flow);
+        }
+        else if (!state.repeated && now >= state.repeat_at)
+        {
+            state.repeated = true;
+            this->send_queries(flow, state);
+        }
+    }
+    for (const flow_key& flow : due)
+    {
+        this->conclude(now, flow);
+    }
+    if (now >= this->next_cleaning)
+    {
+        this->next_cleaning = now + cleaning_interval;
+        this->forget_idle(now);
+    }
+}
+
+owned_flow& ownership_controller::own(
+    time_point now, const flow_key& flow, instance_id entry)
+{
+    this->redirects.erase(flow);
+    const auto [place, is_new] = this->owned.try_emplace(flow);
+    owned_flow& state = place->second;
+    state.last_used = now;
+    state.last_entry = entry;
+    if (is_new)
+    {
+        const auto self = this->context.settings.self.value;
+        const auto life = this->context.settings.life.value;
+        const auto seed = hash_pair(hash_flow(flow), hash_pair(self, life));
+        state.next_message_id = static_cast<std::uint16_t>(seed);
+        this->context.report(now, event_kind::flow_created, flow);
+    }
+    return state;
+}
+
+owned_flow* ownership_controller::find(const flow_key& flow)
+{
+    const auto found = this->owned.find(flow);
+    return found == this->owned.end() ? nullptr : &found->second;
+}
+
+void ownership_controller::redirect(
+    time_point now, const flow_key& flow, instance_id target)
+{
+    if (this->owned.erase(flow) > 0)
+    {
+        this->context.output.close_datagram_flow(flow);
+    }
+    if (this->redirects.size() < max_redirects)
+    {
+        this->redirects[flow] = {target, now + redirect_lifetime};
+    }
+}
+
+std::size_t ownership_controller::give_up_all()
+{
+    const std::size_t count = this->owned.size();
+    for (const auto& [flow, state] : this->owned)
+    {
+        this->context.output.close_datagram_flow(flow);
+    }
+    this->owned.clear();
+    this->redirects.clear();
+    this->look_ups.clear();
+    return count;
+}
+
+void ownership_controller::relay(
+    time_point now,
+    const forward_message& message,
+    instance_id target,
+    forward_mode mode)
+{
+    if (message.hops >= max_hops)
+    {
+        this->context.report(
+            now, event_kind::packet_dropped, message.flow,
+            result_code::dropped_unknown_flow, target);
+        return;
+    }
+    forward_message copy = message;
+    copy.mode = mode;
+    ++copy.hops;
+    this->context.output.send(target, copy);
+    core_event event;
+    event.kind = event_kind::packet_relayed;
+    event.flow = message.flow;
+    event.peer = target;
+    event.trace = message.trace;
+    this->context.events.on_event(now, event);
+}
+
+bool ownership_controller::follow_redirect(
+    time_point now, const forward_message& message)
+{
+    const auto found = this->redirects.find(message.flow);
+    if (found == this->redirects.end())
+    {
+        return false;
+    }
+    const instance_id target = found->second.target;
+    // A look-up names all live candidates: a target that is not among them
+    // has gone.
+    const bool gone =
+        message.candidates.count > 0 && !message.candidates.contains(target);
+    if (gone || found->second.expires <= now)
+    {
+        this->redirects.erase(found);
+        return false;
+    }
+    found->second.expires = now + redirect_lifetime;
+    this->relay(now, message, target, forward_mode::owner);
+    return true;
+}
+
+void ownership_controller::start_look_up(
+    time_point now, const forward_message& message)
+{
+    const auto found = this->look_ups.find(message.flow);
+    if (found != this->look_ups.end())
+    {
+        if (found->second.packets.size() < max_held_packets)
+        {
+            found->second.packets.emplace_back(message);
+        }
+        return;
+    }
+    if (this->look_ups.size() >= max_look_ups)
+    {
+        this->context.report(
+            now, event_kind::packet_dropped, message.flow,
+            result_code::not_run_overloaded);
+        return;
+    }
+    look_up& state = this->look_ups[message.flow];
+    state.query = this->next_query++;
+    state.packets.emplace_back(message);
+    state.started = now;
+    state.repeat_at = now + query_repeat_after;
+    const instance_id self = this->context.settings.self;
+    for (const instance_id id : message.candidates.view())
+    {
+        state.candidates.push_back({id, 0, 1, 0, false});
+    }
+    for (const auto& sibling : this->context.heartbeats.siblings())
+    {
+        const bool named = message.candidates.contains(sibling.id);
+        if (!named && state.candidates.size() < max_candidates)
+        {
+            state.candidates.push_back({sibling.id, 0, 1, 0, false});
+        }
+    }
+    for (const auto& candidate : state.candidates)
+    {
+        if (candidate.id != self)
+        {
+            state.unanswered.push_back(candidate.id);
+        }
+    }
+    this->context.report(now, event_kind::flow_looked_up, message.flow);
+    if (state.unanswered.empty())
+    {
+        this->conclude(now, message.flow);
+        return;
+    }
+    this->send_queries(message.flow, state);
+}
+
+void ownership_controller::send_queries(
+    const flow_key& flow, const look_up& state)
+{
+    for (const instance_id id : state.unanswered)
+    {
+        this->context.output.send(id, flow_query{flow, state.query});
+    }
+}
+
+void ownership_controller::conclude(time_point now, const flow_key& flow)
+{
+    look_up& state = this->look_ups.at(flow);
+    const instance_id self = this->context.settings.self;
+    for (auto& candidate : state.candidates)
+    {
+        if (candidate.id == self)
+        {
+            candidate.in_flight = this->context.in_flight;
+            candidate.limit = this->context.limit->limit();
+            candidate.flows = static_cast<std::uint32_t>(this->owned.size());
+            candidate.admits = this->context.admits();
+        }
+    }
+    std::size_t width = 1;
+    if (this->context.configs.current())
+    {
+        width = this->context.configs.current()->active_preset().choice_width;
+    }
+    const auto chosen = choose_upstream(state.candidates, width);
+    this->resolve(now, flow, chosen.value_or(self), forward_mode::create);
+}
+
+void ownership_controller::resolve(
+    time_point now, const flow_key& flow, instance_id owner, forward_mode mode)
+{
+    auto node = this->look_ups.extract(flow);
+    if (owner == this->context.settings.self)
+    {
+        for (const auto& packet : node.mapped().packets)
+        {
+            forward_message message = packet.message();
+            message.mode = forward_mode::create;
+            this->on_packet(now, message);
+        }
+        return;
+    }
+    if (mode != forward_mode::look_up && this->redirects.size() < max_redirects)
+    {
+        this->redirects[flow] = {owner, now + redirect_lifetime};
+        this->context.report(
+            now, event_kind::flow_redirected, flow, result_code::done, owner);
+    }
+    for (const auto& packet : node.mapped().packets)
+    {
+        this->relay(now, packet.message(), owner, mode);
+    }
+}
+
+bool ownership_controller::outranks_self(
+    const flow_key& flow, instance_id other) const
+{
+    const std::uint64_t key = hash_flow(flow);
+    const instance_id self = this->context.settings.self;
+    return rendezvous_score(key, {other, 1}) > rendezvous_score(key, {self, 1});
+}
+
+bool ownership_controller::may_create(const forward_message& message) const
+{
+    const auto& current = this->context.configs.current();
+    const auto* service =
+        current ? current->find_service(message.flow.service) : nullptr;
+    if (service == nullptr || service->protocol == service_protocol::datagram)
+    {
+        return service != nullptr;
+    }
+    const auto decoded = this->context.codec.decode(message.payload);
+    // An acknowledgement or reset never begins a flow.
+    return !decoded || decoded->is_request();
+}
+
+void ownership_controller::forget_idle(time_point now)
+{
+    const duration limit = this->context.settings.flow_idle_limit;
+    boost::unordered::erase_if(
+        this->owned,
+        [&](const auto& item)
+        {
+            const owned_flow& state = item.second;
+            const bool idle = state.watches == 0 && state.exchanges == 0 &&
+                              now - state.last_used > limit;
+            if (idle)
+            {
+                this->context.output.close_datagram_flow(item.first);
+            }
+            return idle;
+        });
+    boost::unordered::erase_if(
+        this->redirects,
+        [&](const auto& item) { return item.second.expires <= now; });
+}
+
+} // namespace masticslip::detail
--- /dev/null
+++ b/src/core/request_controller.cpp
@@ -0,0 +1,655 @@
+#include "masticslip/core/detail/request_controller.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace masticslip::detail
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr duration transfer_idle_limit = 60s;
+constexpr duration bound_repeat_after = 100ms;
+constexpr std::uint32_t max_bound_attempts = 3;
+constexpr std::size_t max_bound_packets = 4096;
+constexpr std::size_t max_queued = 4096;
+constexpr std::uint8_t max_retry_hops = 2;
+
+/// Identity of a request while it is in progress: flow and token.
+request_key make_token_key(const flow_key& flow, const coap_message& request)
+{
+    return {flow, request.token};
+}
+
+bool has_more_blocks(const coap_message& response)
+{
+    const auto download = response.find_uint(coap_option_number::block2);
+    return response.code == coap_code::continue_ ||
+           (download && decode_block(*download).more);
+}
+
+} // namespace
+
+request_controller::request_controller(
+    companion_context& context,
+    ownership_controller& ownership,
+    watch_controller& watches)
+    : context(context), ownership(ownership), watches(watches),
+      records(context.settings.record_capacity, context.settings.record_window),
+      filters(make_request_filters(context, this->records, ownership, *this))
+{
+}
+
+void request_controller::on_request(
+    time_point now, const forward_message& message, const coap_message& request)
+{
+    if (request.find_uint(coap_option_number::observe) == 1U)
+    {
+        this->watches.cancel(now, message.flow, request.token);
+    }
+    const request_context item{
+        now, message, request, make_request_key(message.flow, request)};
+    for (const auto& filter : this->filters)
+    {
+        if (!filter->pass(item))
+        {
+            return;
+        }
+    }
+    this->execute(item);
+}
+
+void request_controller::execute(const request_context& item)
+{
+    const bool recorded = item.request.is_non_idempotent();
+    if (recorded && !this->records.begin(item.now, item.key))
+    {
+        // Without a record "not run" could not be kept true for a repeat.
+        this->answer_unknown(item, result_code::unknown_record_expired);
+        return;
+    }
+    exchange started;
+    started.flow = item.flow();
+    started.entry = item.message.entry;
+    started.trace = item.message.trace;
+    started.request = item.request;
+    started.key = item.key;
+    started.hops = item.message.hops;
+    const exchange_id id = this->start(item.now, std::move(started));
+    this->by_token[make_token_key(item.flow(), item.request)] = id;
+    owned_flow* flow = this->ownership.find(item.flow());
+    if (flow != nullptr)
+    {
+        ++flow->exchanges;
+    }
+    core_event event;
+    event.kind = event_kind::request_executed;
+    event.flow = item.flow();
+    event.trace = item.message.trace;
+    this->context.events.on_event(item.now, event);
+}
+
+exchange_id request_controller::start(time_point now, exchange item)
+{
+    const exchange_id id = this->next_exchange++;
+    item.started = now;
+    duration allowed = this->context.settings.request_deadline;
+    if (const auto wish = item.request.find_uint(coap_option_number::deadline))
+    {
+        allowed = std::min<duration>(allowed, std::chrono::milliseconds(*wish));
+    }
+    item.deadline = now + allowed;
+    coap_message request = item.request;
+    request.type = coap_type::non_confirmable;
+    request.message_id = this->next_upstream_message_id++;
+    request.token = make_upstream_token(id);
+    request.erase(coap_option_number::echo);
+    request.set_uint(
+        coap_option_number::deadline,
+        static_cast<std::uint32_t>(allowed / 1ms));
+    ++this->context.in_flight;
+    this->exchanges.emplace(id, std::move(item));
+    this->context.output.send_to_upstream(this->context.codec.encode(request));
+    return id;
+}
+
+void request_controller::on_upstream_message(
+    time_point now, const coap_message& message)
+{
+    const exchange_id id = parse_upstream_token(message.token);
+    if (this->exchanges.contains(id))
+    {
+        this->complete(now, id, message);
+        return;
+    }
+    if (this->watches.on_notification(now, id, message))
+    {
+        return;
+    }
+    this->context.report(
+        now, event_kind::packet_dropped, {}, result_code::dropped_unknown_flow);
+    if (message.find(coap_option_number::observe) != nullptr)
+    {
+        coap_message reset;
+        reset.type = coap_type::reset;
+        reset.message_id = message.message_id;
+        this->context.output.send_to_upstream(
+            this->context.codec.encode(reset));
+    }
+}
+
+void request_controller::complete(
+    time_point now, exchange_id id, const coap_message& response)
+{
+    const auto place = this->exchanges.find(id);
+    const exchange item = place->second;
+    const bool refused = response.code == coap_code::service_unavailable;
+    const duration latency = now - item.started;
+    this->context.limit->on_completion(
+        now, latency, refused ? completion::refused : completion::success,
+        this->context.in_flight);
+    this->finish(now, place);
+    if (item.kind == exchange_kind::registration)
+    {
+        this->watches.on_notification(now, item.watch, response);
+        return;
+    }
+    if (item.kind == exchange_kind::hand_over)
+    {
+        this->complete_hand_over(now, id, item, response);
+        return;
+    }
+    if (refused && this->retry_refused(now, item))
+    {
+        return;
+    }
+    this->complete_request(now, id, item, response);
+}
+
+void request_controller::complete_request(
+    time_point now,
+    exchange_id id,
+    const exchange& item,
+    const coap_message& response)
+{
+    coap_message answer = response;
+    const bool refused = response.code == coap_code::service_unavailable;
+    const bool is_watch =
+        item.request.find_uint(coap_option_number::observe) == 0U &&
+        response.find(coap_option_number::observe) != nullptr;
+    if (refused)
+    {
+        answer = this->make_answer(
+            item.request, coap_code::service_unavailable,
+            result_code::not_run_upstream_refused);
+        answer.set_uint(
+            coap_option_number::max_age,
+            this->context.retry_after(now, item.flow));
+    }
+    if (is_watch)
+    {
+        watch_start start{id, item.flow, item.entry, item.request, 0};
+        start.request.erase(coap_option_number::echo);
+        const auto observe = this->watches.start(now, std::move(start));
+        answer.set_uint(coap_option_number::observe, observe);
+    }
+    this->note_transfer(now, item, response);
+    core_event event;
+    event.kind =
+        refused ? event_kind::request_refused : event_kind::request_completed;
+    event.code =
+        refused ? result_code::not_run_upstream_refused : result_code::done;
+    event.flow = item.flow;
+    event.elapsed = now - item.started;
+    event.trace = item.trace;
+    this->context.events.on_event(now, event);
+    if (item.request.is_non_idempotent())
+    {
+        this->records.finish(now, item.key, answer);
+    }
+    this->send_answer(
+        now, item.flow, item.entry, item.trace, item.request,
+        std::move(answer));
+}
+
+void request_controller::complete_hand_over(
+    time_point now,
+    exchange_id id,
+    const exchange& item,
+    const coap_message& response)
+{
+    if (response.find(coap_option_number::observe) == nullptr)
+    {
+        return;
+    }
+    owned_flow& flow = this->ownership.own(now, item.flow, item.entry);
+    if (flow.watches == 0)
+    {
+        flow.next_message_id = item.handoff.message_id;
+    }
+    this->watches.start(
+        now, {id, item.flow, item.entry, item.request, item.handoff.observe});
+    this->watches.on_notification(now, id, response);
+    this->context.output.send(
+        item.handoff_from, watch_handoff_ack{item.handoff.transfer});
+}
+
+void request_controller::finish(time_point now, exchange_map::iterator place)
+{
+    const exchange& item = place->second;
+    if (this->context.in_flight > 0)
+    {
+        --this->context.in_flight;
+    }
+    if (item.kind == exchange_kind::request)
+    {
+        this->by_token.erase(make_token_key(item.flow, item.request));
+        owned_flow* flow = this->ownership.find(item.flow);
+        if (flow != nullptr && flow->exchanges > 0)
+        {
+            --flow->exchanges;
+            flow->last_used = now;
+        }
+    }
+    this->exchanges.erase(place);
+}
+
+bool request_controller::retry_refused(time_point now, const exchange& item)
+{
+    if (item.hops >= max_retry_hops || !this->context.retries.take())
+    {
+        return false;
+    }
+    const bytes payload = this->context.codec.encode(item.request);
+    forward_message message;
+    message.flow = item.flow;
+    message.entry = item.entry;
+    message.trace = item.trace;
+    message.hops = item.hops;
+    message.payload = payload;
+    const request_context context{now, message, item.request, item.key};
+    if (context.continues_transfer())
+    {
+        return false;
+    }
+    if (item.request.is_non_idempotent())
+    {
+        this->records.forget(item.key);
+    }
+    return this->transfer(context);
+}
+
+void request_controller::note_transfer(
+    time_point now, const exchange& item, const coap_message& response)
+{
+    owned_flow* flow = this->ownership.find(item.flow);
+    if (flow != nullptr)
+    {
+        flow->transfer_until = has_more_blocks(response)
+                                   ? now + transfer_idle_limit
+                                   : time_point{};
+    }
+}
+
+void request_controller::on_message(
+    time_point now, const message_header& header, const watch_handoff& message)
+{
+    const auto request = this->context.codec.decode(message.request);
+    if (!request || !this->context.takes_new_work())
+    {
+        return;
+    }
+    for (const auto& held : this->watches.list())
+    {
+        const bool same =
+            held.flow == message.flow && held.request.token == request->token;
+        if (same)
+        {
+            this->context.output.send(
+                header.sender, watch_handoff_ack{message.transfer});
+            return;
+        }
+    }
+    const auto is_same = [&](const exchange& item)
+    {
+        return item.kind == exchange_kind::hand_over &&
+               item.handoff_from == header.sender &&
+               item.handoff.transfer == message.transfer;
+    };
+    const bool queued_before =
+        std::any_of(this->queued.begin(), this->queued.end(), is_same);
+    const bool running = std::any_of(
+        this->exchanges.begin(), this->exchanges.end(),
+        [&](const auto& entry) { return is_same(entry.second); });
+    if (queued_before || running || this->queued.size() >= max_queued)
+    {
+        return;
+    }
+    exchange item;
+    item.kind = exchange_kind::hand_over;
+    item.flow = message.flow;
+    item.entry = message.entry;
+    item.request = *request;
+    item.handoff = message;
+    item.handoff_from = header.sender;
+    this->queued.push_back(std::move(item));
+    this->start_queued(now);
+}
+
+void request_controller::on_message(const forward_ack& message)
+{
+    this->bound.erase(message.sequence);
+}
+
+void request_controller::on_upstream_restarted(time_point now)
+{
+    this->give_up_all(now, result_code::unknown_upstream_silent);
+    for (const auto& held : this->watches.list())
+    {
+        exchange item;
+        item.kind = exchange_kind::registration;
+        item.flow = held.flow;
+        item.entry = held.entry;
+        item.request = held.request;
+        item.watch = held.id;
+        this->queued.push_back(std::move(item));
+    }
+}
+
+void request_controller::give_up_all(time_point now, result_code code)
+{
+    std::vector<exchange_id> ids;
+    for (const auto& [id, item] : this->exchanges)
+    {
+        ids.push_back(id);
+    }
+    for (const exchange_id id : ids)
+    {
+        this->end_unknown(now, id, code);
+    }
+    this->queued.clear();
+}
+
+void request_controller::on_tick(time_point now)
+{
+    std::vector<exchange_id> overdue;
+    for (const auto& [id, item] : this->exchanges)
+    {
+        if (now >= item.deadline)
+        {
+            overdue.push_back(id);
+        }
+    }
+    for (const exchange_id id : overdue)
+    {
+        const exchange& item = this->exchanges.at(id);
+        this->context.limit->on_completion(
+            now, now - item.started, completion::timeout,
+            this->context.in_flight);
+        this->end_unknown(now, id, result_code::unknown_upstream_silent);
+    }
+    this->start_queued(now);
+    this->repeat_bound(now);
+    this->records.expire(now);
+}
+
+void request_controller::end_unknown(
+    time_point now, exchange_id id, result_code code)
+{
+    const auto place = this->exchanges.find(id);
+    const exchange item = place->second;
+    this->finish(now, place);
+    this->cancel_at_upstream(id);
+    if (item.kind == exchange_kind::registration)
+    {
+        this->queued.push_back(item);
+        return;
+    }
+    if (item.kind == exchange_kind::hand_over)
+    {
+        return;
+    }
+    coap_message answer =
+        this->make_answer(item.request, coap_code::gateway_timeout, code);
+    answer.set_uint(
+        coap_option_number::max_age, this->context.retry_after(now, item.flow));
+    if (item.request.is_non_idempotent())
+    {
+        this->records.finish(now, item.key, answer);
+    }
+    this->context.report(now, event_kind::request_unknown, item.flow, code);
+    this->send_answer(
+        now, item.flow, item.entry, item.trace, item.request,
+        std::move(answer));
+}
+
+void request_controller::refuse(const request_context& item, result_code code)
+{
+    // A late duplicate of a refused request must not run either, so the
+    // refusal is recorded as its final answer.
+    const bool bound = item.request.is_non_idempotent();
+    if (bound && !this->records.begin(item.now, item.key))
+    {
+        this->answer_unknown(item, result_code::unknown_record_expired);
+        return;
+    }
+    this->context.report(
+        item.now, event_kind::request_refused, item.flow(), code);
+    this->send_final(item, coap_code::service_unavailable, code, bound);
+}
+
+void request_controller::answer_unknown(
+    const request_context& item, result_code code)
+{
+    this->context.report(
+        item.now, event_kind::request_unknown, item.flow(), code);
+    this->send_final(item, coap_code::gateway_timeout, code, false);
+}
+
+void request_controller::require_echo(const request_context& item)
+{
+    this->context.report(
+        item.now, event_kind::request_refused, item.flow(),
+        result_code::not_run_echo_required);
+    this->send_answer(
+        item.now, item.flow(), item.message.entry, item.message.trace,
+        item.request,
+        this->make_answer(
+            item.request, coap_code::unauthorized,
+            result_code::not_run_echo_required));
+}
+
+void request_controller::repeat_answer(
+    const request_context& item, const coap_message& answer)
+{
+    this->send_answer(
+        item.now, item.flow(), item.message.entry, item.message.trace,
+        item.request, answer);
+}
+
+void request_controller::send_to_bound(
+    const request_context& item, const echo_claim& claim)
+{
+    if (this->bound.size() >= max_bound_packets)
+    {
+        return;
+    }
+    forward_message message = item.message;
+    message.sequence = this->next_sequence++;
+    message.mode = forward_mode::bound;
+    bound_packet kept{
+        held_packet(message), claim.companion, 1,
+        item.now + bound_repeat_after};
+    this->bound.emplace(message.sequence, std::move(kept));
+    this->ownership.relay(
+        item.now, message, claim.companion, forward_mode::bound);
+}
+
+bool request_controller::transfer(const request_context& item)
+{
+    const auto sibling =
+        this->context.sibling_for(item.flow(), this->context.settings.self);
+    if (!sibling)
+    {
+        return false;
+    }
+    const bool bound = item.request.is_non_idempotent();
+    if (bound && !this->records.transfer(item.now, item.key, *sibling))
+    {
+        return false;
+    }
+    this->context.report(
+        item.now, event_kind::request_transferred, item.flow(),
+        result_code::done, sibling->id);
+    forward_message message = item.message;
+    owned_flow* flow = this->ownership.find(item.flow());
+    if (flow != nullptr)
+    {
+        message.moves_flow = flow->watches == 0 && flow->exchanges == 0;
+        flow->guest = sibling->id;
+    }
+    if (message.moves_flow)
+    {
+        this->ownership.redirect(item.now, item.flow(), sibling->id);
+    }
+    this->transfer_again({item.now, message, item.request, item.key}, *sibling);
+    return true;
+}
+
+void request_controller::transfer_again(
+    const request_context& item, instance_life target)
+{
+    forward_message message = item.message;
+    message.target_life = target.life;
+    message.sequence = 0;
+    this->ownership.relay(item.now, message, target.id, forward_mode::transfer);
+}
+
+bool request_controller::is_in_progress(const request_context& item) const
+{
+    return this->by_token.contains(make_token_key(item.flow(), item.request));
+}
+
+coap_message request_controller::make_answer(
+    const coap_message& request, coap_code code, result_code result) const
+{
+    coap_message answer;
+    answer.code = code;
+    answer.token = request.token;
+    const std::string_view name = to_string(result);
+    answer.payload.assign(name.begin(), name.end());
+    return answer;
+}
+
+void request_controller::send_final(
+    const request_context& item,
+    coap_code code,
+    result_code result,
+    bool record)
+{
+    coap_message answer = this->make_answer(item.request, code, result);
+    answer.set_uint(
+        coap_option_number::max_age,
+        this->context.retry_after(item.now, item.flow()));
+    if (record)
+    {
+        this->records.finish(item.now, item.key, answer);
+    }
+    this->send_answer(
+        item.now, item.flow(), item.message.entry, item.message.trace,
+        item.request, std::move(answer));
+}
+
+void request_controller::send_answer(
+    time_point now,
+    const flow_key& flow,
+    instance_id entry,
+    const trace_context& trace,
+    const coap_message& request,
+    coap_message answer)
+{
+    answer.token = request.token;
+    const owned_flow* owned = this->ownership.find(flow);
+    if (request.type == coap_type::confirmable)
+    {
+        answer.type = coap_type::acknowledgement;
+        answer.message_id = request.message_id;
+    }
+    else
+    {
+        answer.type = coap_type::non_confirmable;
+        answer.message_id = static_cast<std::uint16_t>(~request.message_id);
+    }
+    const echo_claim claim{
+        this->context.settings.self, this->context.settings.life, now};
+    answer.set(coap_option_number::echo, this->context.issuer.issue(claim));
+    this->context.send_to_caller(
+        this->context.live_entry(flow, entry, 0), flow, trace, owned != nullptr,
+        answer);
+}
+
+void request_controller::cancel_at_upstream(exchange_id id)
+{
+    coap_message cancel;
+    cancel.type = coap_type::non_confirmable;
+    cancel.code = coap_code::del;
+    cancel.message_id = this->next_upstream_message_id++;
+    cancel.token = make_upstream_token(id);
+    cancel.add_text(coap_option_number::uri_path, "masticslip");
+    cancel.add_text(coap_option_number::uri_path, "cancel");
+    this->context.output.send_to_upstream(this->context.codec.encode(cancel));
+    this->context.report({}, event_kind::request_cancelled, {});
+}
+
+void request_controller::start_queued(time_point now)
+{
+    while (!this->queued.empty() && this->context.admits())
+    {
+        exchange item = std::move(this->queued.front());
+        this->queued.pop_front();
+        this->start(now, std::move(item));
+    }
+}
+
+void request_controller::repeat_bound(time_point now)
+{
+    std::vector<std::uint32_t> given_up;
+    for (auto& [sequence, item] : this->bound)
+    {
+        if (now < item.repeat_at)
+        {
+            continue;
+        }
+        if (item.attempts >= max_bound_attempts)
+        {
+            given_up.push_back(sequence);
+            continue;
+        }
+        ++item.attempts;
+        item.repeat_at = now + bound_repeat_after;
+        this->ownership.relay(
+            now, item.packet.message(), item.target, forward_mode::bound);
+    }
+    for (const std::uint32_t sequence : given_up)
+    {
+        const auto node = this->bound.extract(sequence);
+        this->give_up_bound(now, node.mapped());
+    }
+}
+
+void request_controller::give_up_bound(time_point now, const bound_packet& item)
+{
+    const forward_message message = item.packet.message();
+    const auto request = this->context.codec.decode(message.payload);
+    if (request)
+    {
+        const request_context context{
+            now, message, *request, make_request_key(message.flow, *request)};
+        this->answer_unknown(context, result_code::unknown_companion_gone);
+    }
+}
+
+} // namespace masticslip::detail
--- /dev/null
+++ b/src/core/request_filters.cpp
@@ -0,0 +1,240 @@
+#include "masticslip/core/detail/request_filters.hpp"
+
+namespace masticslip::detail
+{
+
+namespace
+{
+
+constexpr std::uint8_t max_overflow_hops = 2;
+
+/// Deals with requests that were seen before.
+class duplicate_filter final : public request_filter
+{
+public:
+    duplicate_filter(
+        companion_context& context,
+        execution_records& records,
+        request_actions& actions)
+        : context(context), records(records), actions(actions)
+    {
+    }
+
+    bool pass(const request_context& request) override
+    {
+        const execution_record* record = this->records.find(request.key);
+        const bool recorded =
+            request.request.is_non_idempotent() && record != nullptr;
+        if (!recorded)
+        {
+            return !this->actions.is_in_progress(request);
+        }
+        this->context.report(
+            request.now, event_kind::request_repeated, request.flow());
+        if (record->answer)
+        {
+            this->actions.repeat_answer(request, *record->answer);
+        }
+        else if (record->transferred_to)
+        {
+            this->actions.transfer_again(request, *record->transferred_to);
+        }
+        return false;
+    }
+
+private:
+    companion_context& context;
+    execution_records& records;
+    request_actions& actions;
+};
+
+/// Lets a non-idempotent request pass only at the companion incarnation that
+/// issued its Echo value.
+class echo_filter final : public request_filter
+{
+public:
+    echo_filter(companion_context& context, request_actions& actions)
+        : context(context), actions(actions)
+    {
+    }
+
+    bool pass(const request_context& request) override
+    {
+        if (!request.request.is_non_idempotent())
+        {
+            return true;
+        }
+        const auto* option = request.request.find(coap_option_number::echo);
+        const auto claim = option != nullptr
+                               ? this->context.issuer.verify(option->value)
+                               : std::nullopt;
+        if (!claim)
+        {
+            this->actions.require_echo(request);
+            return false;
+        }
+        if (request.message.mode == forward_mode::transfer)
+        {
+            return this->pass_transferred(request);
+        }
+        if (claim->companion != this->context.settings.self)
+        {
+            this->actions.send_to_bound(request, *claim);
+            return false;
+        }
+        return this->pass_own(request, *claim);
+    }
+
+private:
+    bool pass_transferred(const request_context& request)
+    {
+        if (request.message.target_life == this->context.settings.life)
+        {
+            return true;
+        }
+        // A former life of this companion may have run it.
+        this->actions.answer_unknown(
+            request, result_code::unknown_companion_gone);
+        return false;
+    }
+
+    bool pass_own(const request_context& request, const echo_claim& claim)
+    {
+        const auto& settings = this->context.settings;
+        if (claim.life != settings.life)
+        {
+            this->actions.answer_unknown(
+                request, result_code::unknown_companion_gone);
+            return false;
+        }
+        const duration age = request.now - claim.issued;
+        if (age > settings.record_window)
+        {
+            this->actions.answer_unknown(
+                request, result_code::unknown_record_expired);
+            return false;
+        }
+        if (age > settings.echo_fresh)
+        {
+            // Records of runs under this Echo still exist: there is none, so
+            // the request did not run.
+            this->actions.require_echo(request);
+            return false;
+        }
+        return true;
+    }
+
+    companion_context& context;
+    request_actions& actions;
+};
+
+/// Keeps new work away from a companion that does not take any.
+class drain_filter final : public request_filter
+{
+public:
+    drain_filter(
+        companion_context& context,
+        ownership_controller& ownership,
+        request_actions& actions)
+        : context(context), ownership(ownership), actions(actions)
+    {
+    }
+
+    bool pass(const request_context& request) override
+    {
+        if (this->context.takes_new_work())
+        {
+            return true;
+        }
+        if (this->may_finish_transfer(request))
+        {
+            return true;
+        }
+        if (!this->actions.transfer(request))
+        {
+            this->actions.refuse(request, this->reason());
+        }
+        return false;
+    }
+
+private:
+    /// True for the next block of a transfer that is in progress here.
+    bool may_finish_transfer(const request_context& request)
+    {
+        const owned_flow* flow = this->ownership.find(request.flow());
+        return request.continues_transfer() && flow != nullptr &&
+               flow->transfer_until > request.now &&
+               this->context.upstream_present && !this->context.is_withdrawn();
+    }
+
+    [[nodiscard]] result_code reason() const
+    {
+        return this->context.is_withdrawn()
+                   ? result_code::not_run_domain_withdrawn
+                   : result_code::not_run_no_upstream;
+    }
+
+    companion_context& context;
+    ownership_controller& ownership;
+    request_actions& actions;
+};
+
+/// Keeps the requests in flight below the limit.
+class admission_filter final : public request_filter
+{
+public:
+    admission_filter(companion_context& context, request_actions& actions)
+        : context(context), actions(actions)
+    {
+    }
+
+    bool pass(const request_context& request) override
+    {
+        this->context.retries.on_request();
+        if (this->context.in_flight < this->context.limit->limit())
+        {
+            return true;
+        }
+        const bool may_move = !request.continues_transfer() &&
+                              request.message.hops < max_overflow_hops;
+        const bool moved = may_move && this->context.retries.take() &&
+                           this->actions.transfer(request);
+        if (!moved)
+        {
+            this->actions.refuse(request, result_code::not_run_overloaded);
+        }
+        return false;
+    }
+
+private:
+    companion_context& context;
+    request_actions& actions;
+};
+
+} // namespace
+
+bool request_context::continues_transfer() const
+{
+    const auto upload = this->request.find_uint(coap_option_number::block1);
+    const auto download = this->request.find_uint(coap_option_number::block2);
+    return (upload && decode_block(*upload).number > 0) ||
+           (download && decode_block(*download).number > 0);
+}
+
+std::vector<std::unique_ptr<request_filter>> make_request_filters(
+    companion_context& context,
+    execution_records& records,
+    ownership_controller& ownership,
+    request_actions& actions)
+{
+    std::vector<std::unique_ptr<request_filter>> chain;
+    chain.push_back(
+        std::make_unique<duplicate_filter>(context, records, actions));
+    chain.push_back(std::make_unique<echo_filter>(context, actions));
+    chain.push_back(
+        std::make_unique<drain_filter>(context, ownership, actions));
+    chain.push_back(std::make_unique<admission_filter>(context, actions));
+    return chain;
+}
+
+} // namespace masticslip::detail
--- /dev/null
+++ b/src/daemon/status_report.hpp
@@ -0,0 +1,21 @@
+#pragma once
+/// JSON forms that the status reports of both roles share.
+
+#include "masticslip/core/detail/config_controller.hpp"
+#include "masticslip/core/member_table.hpp"
+
+#include <boost/json/object.hpp>
+
+namespace masticslip
+{
+
+/// Describes a member; `age` is the time since it was last heard.
+boost::json::object member_to_json(const member_record& record);
+
+/// Describes the configuration in force.
+boost::json::object config_to_json(const detail::config_controller& config);
+
+/// Milliseconds from `then` to `now`; -1 if `then` is not set.
+std::int64_t milliseconds_since(time_point then, time_point now);
+
+} // namespace masticslip
--- /dev/null
+++ b/src/daemon/store_watcher.cpp
@@ -0,0 +1,114 @@
+#include "store_watcher.hpp"
+
+#include "telemetry/log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace masticslip
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds call_timeout = 2s;
+constexpr std::chrono::milliseconds watch_limit = 60s;
+constexpr std::chrono::milliseconds duty_interval = 500ms;
+constexpr std::chrono::milliseconds shortest_backoff = 100ms;
+constexpr std::chrono::milliseconds longest_backoff = 5s;
+constexpr unsigned max_doublings = 6;
+
+} // namespace
+
+store_watcher::store_watcher(
+    asio::io_context& context,
+    std::vector<endpoint> servers,
+    std::uint64_t seed)
+    : context(context), client(std::move(servers), call_timeout), random(seed)
+{
+}
+
+void store_watcher::start(duty_source duty, document_handler handler)
+{
+    this->has_duty = std::move(duty);
+    this->on_document = std::move(handler);
+    asio::co_spawn(this->context, this->run(), asio::detached);
+}
+
+asio::awaitable<void> store_watcher::run()
+{
+    while (!this->context.stopped())
+    {
+        std::chrono::milliseconds pause = duty_interval;
+        if (this->has_duty())
+        {
+            const bool answered = co_await this->read_and_watch();
+            pause = answered ? shortest_backoff : this->note_failure();
+        }
+        co_await this->sleep(pause);
+    }
+}
+
+std::chrono::milliseconds store_watcher::note_failure()
+{
+    ++this->failures;
+    log_line(log_level::warning, "store_unavailable")
+        .field("failures", this->failures)
+        .field("detail", std::string_view(this->client.last_reason()));
+    return this->backoff();
+}
+
+asio::awaitable<bool> store_watcher::read_and_watch()
+{
+    const auto found = co_await this->client.range(configuration_key, "");
+    if (!found)
+    {
+        co_return false;
+    }
+    this->failures = 0;
+    std::int64_t revision = 0;
+    if (!found->empty())
+    {
+        revision = found->front().mod_revision;
+        this->on_document(found->front().value);
+    }
+    while (this->has_duty())
+    {
+        const auto changed = co_await this->client.watch(
+            configuration_key, revision, watch_limit);
+        if (!changed)
+        {
+            // The watch may have ended by its time limit; reading again tells
+            // whether the store is up.
+            co_return true;
+        }
+        revision = changed->mod_revision;
+        this->on_document(changed->value);
+    }
+    co_return true;
+}
+
+asio::awaitable<void> store_watcher::sleep(std::chrono::milliseconds time)
+{
+    asio::steady_timer timer(this->context, time);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+std::chrono::milliseconds store_watcher::backoff()
+{
+    const unsigned doublings = std::min(this->failures, max_doublings);
+    const auto longest =
+        std::min(longest_backoff, shortest_backoff * (1U << doublings));
+    std::uniform_int_distribution<std::int64_t> spread(1, longest.count());
+    return std::chrono::milliseconds(spread(this->random));
+}
+
+} // namespace masticslip
--- /dev/null
+++ b/src/net/http.hpp
@@ -0,0 +1,83 @@
+#pragma once
+/// Small HTTP/1.1 client and server on Boost.Beast, for local addresses.
+
+#include "masticslip/core/types.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace masticslip
+{
+
+using http_request =
+    boost::beast::http::request<boost::beast::http::string_body>;
+using http_response =
+    boost::beast::http::response<boost::beast::http::string_body>;
+
+/// One request to a server.
+struct http_call
+{
+    endpoint server;
+    boost::beast::http::verb method = boost::beast::http::verb::get;
+    std::string target;
+    std::string body;
+    std::chrono::milliseconds timeout = std::chrono::seconds(2);
+};
+
+/// Sends a request; nullopt and a reason on failure. Runs on the current
+/// executor. The reason must outlive the call.
+boost::asio::awaitable<std::optional<http_response>>
+send_http(http_call call, std::string& reason);
+
+/// Runs one call to its end on a private context.
+std::optional<http_response>
+send_http_blocking(const http_call& call, std::string& reason);
+
+/// Creates a response with a JSON or text body.
+http_response make_response(
+    const http_request& request,
+    boost::beast::http::status status,
+    std::string body,
+    const char* content_type = "application/json");
+
+/// Serves HTTP requests. Not thread-safe.
+class http_server
+{
+public:
+    /// Answers one request; may write to the stream itself and return
+    /// nullopt, after which the connection is closed.
+    using handler =
+        std::function<boost::asio::awaitable<std::optional<http_response>>(
+            http_request, boost::beast::tcp_stream&)>;
+
+    http_server(boost::asio::io_context& context, handler on_request)
+        : acceptor(context), on_request(std::move(on_request))
+    {
+    }
+
+    /// Listens on an address; false and a reason if it cannot be used.
+    bool open(const endpoint& local, std::string& reason);
+
+    /// Address that the server listens on.
+    [[nodiscard]] endpoint local() const;
+
+    void close();
+
+private:
+    boost::asio::awaitable<void> accept_loop();
+    boost::asio::awaitable<void> serve(boost::beast::tcp_stream stream);
+
+    boost::asio::ip::tcp::acceptor acceptor;
+    handler on_request;
+};
+
+} // namespace masticslip
--- /dev/null
+++ b/src/settings/setting_table.hpp
@@ -0,0 +1,107 @@
+#pragma once
+/// Settings from flags and environment variables, checked together.
+///
+///     setting_table table("masticslipd", "0.1.0", {...});
+///     auto values = table.read(argc, argv, faults);
+///
+/// Every setting has one flag `--some-name` and one environment variable
+/// `MASTICSLIP_SOME_NAME`; the flag wins. All faults are named at once.
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace masticslip
+{
+
+/// Exit code for faulty settings or arguments.
+constexpr int exit_usage = 2;
+
+/// Returns the fault of a value, or nullopt.
+using setting_check =
+    std::function<std::optional<std::string>(const std::string&)>;
+
+/// One setting.
+struct setting
+{
+    std::string name;
+    std::string description;
+    std::string fallback;
+    setting_check check;
+};
+
+/// Values by setting name.
+class setting_values
+{
+public:
+    explicit setting_values(std::map<std::string, std::string> values)
+        : values(std::move(values))
+    {
+    }
+
+    /// Precondition: the setting is in the table.
+    [[nodiscard]] const std::string& get(const std::string& name) const
+    {
+        return this->values.at(name);
+    }
+
+    [[nodiscard]] bool is_set(const std::string& name) const
+    {
+        return !this->get(name).empty();
+    }
+
+private:
+    std::map<std::string, std::string> values;
+};
+
+/// The settings of one program. Immutable after construction.
+class setting_table
+{
+public:
+    setting_table(
+        std::string program,
+        std::string version,
+        std::vector<setting> settings);
+
+    /// Reads and checks all settings. `--help` and `--version` end the
+    /// process. Returns nullopt and all faults if any value is bad. With
+    /// `words` not null, remaining arguments are stored there.
+    std::optional<setting_values> read(
+        int argc,
+        const char* const* argv,
+        std::vector<std::string>& faults,
+        std::vector<std::string>* words = nullptr) const;
+
+    /// Markdown table of all settings for the docs.
+    [[nodiscard]] std::string markdown() const;
+
+    /// Adds a switch (a flag without value) with this name.
+    void add_switch(std::string name, std::string description);
+
+private:
+    std::string program;
+    std::string version;
+    std::vector<setting> settings;
+    std::vector<setting> switches;
+};
+
+/// Environment variable of a setting.
+std::string environment_name(const std::string& setting);
+
+/// Checks for common kinds of values; an empty value passes all but
+/// `required`.
+setting_check any_value();
+setting_check required(setting_check check);
+setting_check endpoint_value();
+setting_check endpoint_list();
+setting_check number_value(std::uint64_t low, std::uint64_t high);
+setting_check one_of(std::vector<std::string> choices);
+setting_check hex_key();
+setting_check name_value();
+
+/// Splits a comma-separated list; an empty text gives an empty list.
+std::vector<std::string> split_list(const std::string& text);
+
+} // namespace masticslip
--- /dev/null
+++ b/src/wire/message_archive.hpp
@@ -0,0 +1,359 @@
+#pragma once
+/// Field order of every internal message for cereal archives.
+///
+/// Every list has a bound, which is checked before memory is taken.
+
+#include "buffer_stream.hpp"
+
+#include <cereal/archives/portable_binary.hpp>
+
+#include <stdexcept>
+#include <string>
+
+namespace masticslip::detail
+{
+
+constexpr std::size_t max_list = 256;
+constexpr std::size_t max_name = 64;
+constexpr std::size_t max_text = 64'000;
+
+/// Raised while reading a message that breaks a bound.
+class bad_message : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+/// Writes fields.
+class field_writer
+{
+public:
+    static constexpr bool is_reading = false;
+
+    explicit field_writer(std::ostream& stream) : archive(stream)
+    {
+    }
+
+    template <class Value>
+    void plain(const Value& value)
+    {
+        this->archive(value);
+    }
+
+    void raw(byte_view value)
+    {
+        this->archive(static_cast<std::uint32_t>(value.size()));
+        this->archive(cereal::binary_data(
+            const_cast<std::uint8_t*>(value.data()), value.size()));
+    }
+
+    void text(const std::string& value, std::size_t)
+    {
+        this->raw(
+            {reinterpret_cast<const std::uint8_t*>(value.data()),
+             value.size()});
+    }
+
+private:
+    cereal::PortableBinaryOutputArchive archive;
+};
+
+/// Reads fields; throws on bad input.
+class field_reader
+{
+public:
+    static constexpr bool is_reading = true;
+
+    field_reader(std::istream& stream, read_buffer& buffer)
+        : archive(stream), buffer(buffer)
+    {
+    }
+
+    template <class Value>
+    void plain(Value& value)
+    {
+        this->archive(value);
+    }
+
+    void plain(bool& value)
+    {
+        std::uint8_t octet = 0;
+        this->archive(octet);
+        value = octet != 0;
+    }
+
+    void raw(byte_view& value)
+    {
+        std::uint32_t size = 0;
+        this->archive(size);
+        if (size > this->buffer.remaining())
+        {
+            throw bad_message("size runs past the end");
+        }
+        value = this->buffer.take(size);
+    }
+
+    void text(std::string& value, std::size_t limit)
+    {
+        byte_view octets;
+        this->raw(octets);
+        if (octets.size() > limit)
+        {
+            throw bad_message("text is too long");
+        }
+        value.assign(octets.begin(), octets.end());
+    }
+
+private:
+    cereal::PortableBinaryInputArchive archive;
+    read_buffer& buffer;
+};
+
+template <class Archive, class Enum>
+requires std::is_enum_v<std::remove_const_t<Enum>>
+void enumeration(Archive& archive, Enum& value, std::remove_const_t<Enum> last)
+{
+    if constexpr (Archive::is_reading)
+    {
+        std::uint8_t raw = 0;
+        archive.plain(raw);
+        if (raw > static_cast<std::uint8_t>(last))
+        {
+            throw bad_message("enumeration value out of range");
+        }
+        value = static_cast<Enum>(raw);
+    }
+    else
+    {
+        archive.plain(static_cast<std::uint8_t>(value));
+    }
+}
+
+/// `Value` is const when writing, so one function serves both directions.
+template <class Archive, class Value>
+void wrapped(Archive& archive, Value& value)
+{
+    archive.plain(value.value);
+}
+
+template <class Archive, class Time>
+void time_field(Archive& archive, Time& value)
+{
+    if constexpr (Archive::is_reading)
+    {
+        std::int64_t count = 0;
+        archive.plain(count);
+        value = time_point(duration(count));
+    }
+    else
+    {
+        archive.plain(std::int64_t{value.time_since_epoch().count()});
+    }
+}
+
+template <class Archive, class Flow>
+void flow_field(Archive& archive, Flow& flow)
+{
+    archive.plain(flow.caller.address);
+    archive.plain(flow.caller.port);
+    wrapped(archive, flow.service);
+}
+
+template <class Archive, class List, class Item>
+void list_field(Archive& archive, List& list, std::size_t limit, Item item)
+{
+    if constexpr (Archive::is_reading)
+    {
+        std::uint16_t count = 0;
+        archive.plain(count);
+        if (count > limit)
+        {
+            throw bad_message("list is too long");
+        }
+        list.resize(count);
+    }
+    else
+    {
+        archive.plain(static_cast<std::uint16_t>(list.size()));
+    }
+    for (auto& element : list)
+    {
+        item(archive, element);
+    }
+}
+
+template <class Archive, class Trace>
+void trace_field(Archive& archive, Trace& trace)
+{
+    archive.plain(trace.trace_high);
+    archive.plain(trace.trace_low);
+    archive.plain(trace.parent_span);
+}
+
+template <class Archive, class Record>
+void record_field(Archive& archive, Record& record)
+{
+    wrapped(archive, record.id);
+    wrapped(archive, record.life);
+    archive.plain(record.version);
+    enumeration(archive, record.role, member_role::companion);
+    enumeration(archive, record.state, member_state::left);
+    wrapped(archive, record.service);
+    archive.plain(record.admin.address);
+    archive.plain(record.admin.port);
+    archive.text(record.failure_domain, max_name);
+    archive.text(record.name, max_name);
+}
+
+template <class Archive, class List>
+void candidates_field(Archive& archive, List& list)
+{
+    archive.plain(list.count);
+    if (list.count > max_candidates)
+    {
+        throw bad_message("too many candidates");
+    }
+    for (std::size_t i = 0; i < list.count; ++i)
+    {
+        wrapped(archive, list.ids.at(i));
+    }
+}
+
+template <class Archive, class Bytes>
+void bytes_field(Archive& archive, Bytes& value)
+{
+    if constexpr (Archive::is_reading)
+    {
+        byte_view view;
+        archive.raw(view);
+        value.assign(view.begin(), view.end());
+    }
+    else
+    {
+        archive.raw(value);
+    }
+}
+
+template <class Message, class Type>
+concept is_message = std::is_same_v<std::remove_const_t<Message>, Type>;
+
+template <class Archive, is_message<forward_message> Message>
+void message_fields(Archive& archive, Message& message)
+{
+    flow_field(archive, message.flow);
+    wrapped(archive, message.entry);
+    enumeration(archive, message.mode, forward_mode::transfer);
+    archive.plain(message.hops);
+    archive.plain(message.sequence);
+    wrapped(archive, message.target_life);
+    archive.plain(message.moves_flow);
+    trace_field(archive, message.trace);
+    candidates_field(archive, message.candidates);
+    archive.raw(message.payload);
+}
+
+template <class Archive, is_message<forward_ack> Message>
+void message_fields(Archive& archive, Message& message)
+{
+    archive.plain(message.sequence);
+}
+
+template <class Archive, is_message<reply_message> Message>
+void message_fields(Archive& archive, Message& message)
+{
+    flow_field(archive, message.flow);
+    archive.plain(message.from_owner);
+    trace_field(archive, message.trace);
+    archive.raw(message.payload);
+}
+
+template <class Archive, is_message<flow_query> Message>
+void message_fields(Archive& archive, Message& message)
+{
+    flow_field(archive, message.flow);
+    archive.plain(message.query);
+}
+
+template <class Archive, is_message<flow_query_answer> Message>
+void message_fields(Archive& archive, Message& message)
+{
+    flow_field(archive, message.flow);
+    archive.plain(message.query);
+    enumeration(archive, message.knowledge, flow_knowledge::looking_up);
+    wrapped(archive, message.owner);
+    archive.plain(message.in_flight);
+    archive.plain(message.limit);
+    archive.plain(message.flows);
+    archive.plain(message.admits);
+}
+
+template <class Archive, is_message<heartbeat> Message>
+void message_fields(Archive& archive, Message& message)
+{
+    record_field(archive, message.self);
+    time_field(archive, message.sent);
+}
+
+template <class Archive, is_message<heartbeat_answer> Message>
+void message_fields(Archive& archive, Message& message)
+{
+    list_field(
+        archive, message.entries, max_list,
+        [](Archive& target, auto& item) { wrapped(target, item); });
+    list_field(
+        archive, message.siblings, max_list,
+        [](Archive& target, auto& item)
+        {
+            wrapped(target, item.id);
+            wrapped(target, item.life);
+        });
+    record_field(archive, message.known);
+    time_field(archive, message.heartbeat_sent);
+}
+
+template <class Archive, is_message<gossip_message> Message>
+void message_fields(Archive& archive, Message& message)
+{
+    list_field(
+        archive, message.records, max_list,
+        [](Archive& target, auto& item) { record_field(target, item); });
+}
+
+template <class Archive, is_message<digest_message> Message>
+void message_fields(Archive& archive, Message& message)
+{
+    for (auto& bucket : message.buckets)
+    {
+        archive.plain(bucket);
+    }
+}
+
+template <class Archive, is_message<config_request> Message>
+void message_fields(Archive&, Message&)
+{
+}
+
+template <class Archive, is_message<config_push> Message>
+void message_fields(Archive& archive, Message& message)
+{
+    archive.text(message.document, max_text);
+}
+
+template <class Archive, is_message<watch_handoff> Message>
+void message_fields(Archive& archive, Message& message)
+{
+    archive.plain(message.transfer);
+    flow_field(archive, message.flow);
+    wrapped(archive, message.entry);
+    archive.plain(message.observe);
+    archive.plain(message.message_id);
+    bytes_field(archive, message.request);
+}
+
+template <class Archive, is_message<watch_handoff_ack> Message>
+void message_fields(Archive& archive, Message& message)
+{
+    archive.plain(message.transfer);
+}
+
+} // namespace masticslip::detail
--- /dev/null
+++ b/standins/upstream.cpp
@@ -0,0 +1,583 @@
+// Stand-in for an upstream: a CoAP server with slots, a cold start that
+// collapses under full load, shedding, drain, cancellation, deadlines, health
+// that lies, and a log of each execution.
+//
+// Resources:
+//   GET  /board     state of the board; Observe is supported
+//   POST /signup    runs once for each request; the payload is its id
+//   POST /upload    Block1; runs when the last block arrives
+//   GET  /document  Block2; the content depends on the Uri-Query
+//   GET  /health    what it claims of itself, true or not
+// The execution log has one line for each run: "<epoch> <resource> <id>".
+// Control: POST /control {"action": "cold"|"drain"|"serve"}; GET /stats.
+
+#include "libcoap_codec.hpp"
+#include "net/datagram_socket.hpp"
+#include "net/http.hpp"
+#include "settings/setting_table.hpp"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+#include <csignal>
+#include <deque>
+#include <fstream>
+#include <iostream>
+#include <map>
+
+namespace masticslip::standins
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using namespace std::chrono_literals;
+using steady = std::chrono::steady_clock;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds announce_interval = 300ms;
+constexpr std::chrono::milliseconds collapse_time = 1500ms;
+constexpr std::uint32_t cold_slots = 1;
+/// More requests than this at once make a cold upstream collapse.
+constexpr std::uint32_t cold_collapse = 3;
+constexpr int cold_slowdown = 3;
+constexpr std::uint32_t document_blocks = 5;
+constexpr std::uint8_t block_exponent = 6;
+
+struct upstream_options
+{
+    endpoint bind;
+    endpoint control;
+    endpoint companion;
+    std::string service;
+    std::uint32_t slots = 5;
+    std::chrono::milliseconds service_time{};
+    std::chrono::milliseconds cold_time{};
+    std::chrono::milliseconds notify_interval{};
+    std::string log_file;
+};
+
+std::string to_text(const bytes& value)
+{
+    return {value.begin(), value.end()};
+}
+
+std::string hex(const bytes& value)
+{
+    std::string result;
+    for (const std::uint8_t octet : value)
+    {
+        constexpr const char* digits = "0123456789abcdef";
+        result += digits[octet >> 4U];
+        result += digits[octet & 15U];
+    }
+    return result;
+}
+
+class upstream
+{
+public:
+    upstream(asio::io_context& context, upstream_options options)
+        : context(context), options(std::move(options)), socket(context),
+          announce_timer(context), notify_timer(context)
+    {
+        this->restart();
+    }
+
+    bool open(std::string& reason)
+    {
+        if (!this->socket.open(this->options.bind, reason))
+        {
+            return false;
+        }
+        this->socket.start([this](const endpoint& from, byte_view datagram)
+                           { this->on_datagram(from, datagram); });
+        this->announce();
+        this->notify_all();
+        return true;
+    }
+
+    asio::awaitable<std::optional<http_response>>
+    on_control(http_request request, boost::beast::tcp_stream&)
+    {
+        if (request.method() == http::verb::post)
+        {
+            const auto body = json::parse(request.body()).as_object();
+            const auto action = std::string(body.at("action").as_string());
+            if (action == "cold")
+            {
+                this->cold_until = steady::now() + this->options.cold_time;
+            }
+            this->draining = action == "drain";
+        }
+        co_return make_response(request, http::status::ok, this->statistics());
+    }
+
+private:
+    struct work
+    {
+        endpoint from;
+        coap_message request;
+        std::unique_ptr<asio::steady_timer> timer;
+        steady::time_point deadline;
+        bool running = false;
+    };
+
+    struct upload
+    {
+        std::uint32_t next_block = 0;
+        std::string content;
+    };
+
+    struct observer
+    {
+        endpoint to;
+        coap_message request;
+    };
+
+    std::string statistics() const
+    {
+        return json::serialize(json::object{
+            {"epoch", this->epoch},
+            {"executions", this->executions},
+            {"collapses", this->collapses},
+            {"shed", this->shed_count},
+            {"peak_in_flight", this->peak},
+            {"peak_in_flight_cold", this->peak_cold},
+            {"packets", this->packets},
+            {"last_packet_ms_ago", this->last_packet_age()},
+            {"watches", this->observers.size()}});
+    }
+
+    bool is_cold() const
+    {
+        return steady::now() < this->cold_until;
+    }
+
+    std::int64_t last_packet_age() const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+                   steady::now() - this->last_packet)
+            .count();
+    }
+
+    void restart()
+    {
+        this->epoch = static_cast<std::uint64_t>(
+            std::chrono::system_clock::now().time_since_epoch() / 1us);
+        this->cold_until = steady::now() + this->options.cold_time;
+        this->works.clear();
+        this->observers.clear();
+        this->uploads.clear();
+    }
+
+    void collapse()
+    {
+        ++this->collapses;
+        this->restart();
+        this->down_until = steady::now() + collapse_time;
+    }
+
+    void on_datagram(const endpoint& from, byte_view datagram)
+    {
+        if (steady::now() < this->down_until)
+        {
+            return;
+        }
+        ++this->packets;
+        this->last_packet = steady::now();
+        const auto request = this->codec.decode(datagram);
+        if (!request)
+        {
+            return;
+        }
+        if (request->type == coap_type::reset)
+        {
+            return;
+        }
+        if (!request->is_request())
+        {
+            return;
+        }
+        if (request->path() == "/masticslip/cancel")
+        {
+            this->cancel(request->token);
+            return;
+        }
+        if (request->path() == "/health")
+        {
+            // Claims to be idle and warm, whatever the truth is.
+            this->answer(from, *request, coap_code::content, "ok load=0");
+            return;
+        }
+        if (request->find_uint(coap_option_number::observe) == 1U)
+        {
+            this->observers.erase(request->token);
+            return;
+        }
+        this->accept(from, *request);
+    }
+
+    void accept(const endpoint& from, const coap_message& request)
+    {
+        const auto in_flight =
+            static_cast<std::uint32_t>(this->works.size()) + 1;
+        this->peak = std::max(this->peak, in_flight);
+        if (this->is_cold())
+        {
+            this->peak_cold = std::max(this->peak_cold, in_flight);
+            if (in_flight > cold_collapse)
+            {
+                this->collapse();
+                return;
+            }
+        }
+        if (in_flight > 2 * this->options.slots)
+        {
+            ++this->shed_count;
+            this->answer(from, request, coap_code::service_unavailable, "shed");
+            return;
+        }
+        work item{
+            from, request, std::make_unique<asio::steady_timer>(this->context),
+            steady::time_point::max(), false};
+        if (const auto limit = request.find_uint(coap_option_number::deadline))
+        {
+            item.deadline = steady::now() + std::chrono::milliseconds(*limit);
+        }
+        this->works.emplace(request.token, std::move(item));
+        this->run_next();
+    }
+
+    void run_next()
+    {
+        const std::uint32_t slots =
+            this->is_cold() ? cold_slots : this->options.slots;
+        std::uint32_t running = 0;
+        for (const auto& [token, item] : this->works)
+        {
+            running += item.running ? 1 : 0;
+        }
+        for (auto& [token, item] : this->works)
+        {
+            if (running >= slots)
+            {
+                return;
+            }
+            if (!item.running)
+            {
+                ++running;
+                this->run(token, item);
+            }
+        }
+    }
+
+    void run(const bytes& token, work& item)
+    {
+        item.running = true;
+        const int factor = this->is_cold() ? cold_slowdown : 1;
+        item.timer->expires_after(this->options.service_time * factor);
+        item.timer->async_wait(
+            [this, token](const boost::system::error_code& error)
+            {
+                if (!error)
+                {
+                    this->finish(token);
+                }
+            });
+    }
+
+    void finish(const bytes& token)
+    {
+        auto node = this->works.extract(token);
+        if (node.empty())
+        {
+            return;
+        }
+        work& item = node.mapped();
+        if (steady::now() <= item.deadline)
+        {
+            this->execute(item.from, item.request);
+        }
+        this->run_next();
+    }
+
+    void cancel(const bytes& token)
+    {
+        this->works.erase(token);
+        this->observers.erase(token);
+        this->run_next();
+    }
+
+    void execute(const endpoint& from, const coap_message& request)
+    {
+        const std::string path = request.path();
+        if (path == "/board")
+        {
+            this->serve_board(from, request);
+        }
+        else if (path == "/signup")
+        {
+            this->log("signup", to_text(request.payload));
+            this->answer(from, request, coap_code::changed, "signed up");
+        }
+        else if (path == "/upload")
+        {
+            this->serve_upload(from, request);
+        }
+        else if (path == "/document")
+        {
+            this->serve_document(from, request);
+        }
+        else
+        {
+            this->answer(from, request, coap_code::not_found, "");
+        }
+    }
+
+    void serve_board(const endpoint& from, const coap_message& request)
+    {
+        const bool registers =
+            request.find_uint(coap_option_number::observe) == 0U;
+        if (registers)
+        {
+            this->observers[request.token] = {from, request};
+        }
+        coap_message response =
+            this->make_response_to(request, coap_code::content, this->board());
+        if (registers)
+        {
+            response.set_uint(coap_option_number::observe, this->board_version);
+        }
+        this->socket.send(from, this->codec.encode(response));
+    }
+
+    void serve_upload(const endpoint& from, const coap_message& request)
+    {
+        const auto block = decode_block(
+            request.find_uint(coap_option_number::block1).value_or(0));
+        const auto* tag = request.find(coap_option_number::request_tag);
+        const std::string key = tag != nullptr ? hex(tag->value) : "none";
+        upload& state = this->uploads[key];
+        if (block.number != state.next_block)
+        {
+            this->uploads.erase(key);
+            this->answer(from, request, coap_code::incomplete, "");
+            return;
+        }
+        state.content += to_text(request.payload);
+        ++state.next_block;
+        coap_message response = this->make_response_to(
+            request, block.more ? coap_code::continue_ : coap_code::changed,
+            "");
+        response.set_uint(coap_option_number::block1, encode_block(block));
+        if (!block.more)
+        {
+            const std::size_t end = state.content.find('\n');
+            this->log(
+                "upload", state.content.substr(0, end) +
+                              " size=" + std::to_string(state.content.size()));
+            this->uploads.erase(key);
+        }
+        this->socket.send(from, this->codec.encode(response));
+    }
+
+    void serve_document(const endpoint& from, const coap_message& request)
+    {
+        const auto* query = request.find(coap_option_number::uri_query);
+        const std::string id = query != nullptr ? to_text(query->value) : "";
+        const auto wanted = decode_block(
+            request.find_uint(coap_option_number::block2).value_or(0));
+        const block_value block{
+            wanted.number, wanted.number + 1 < document_blocks, block_exponent};
+        std::string content = id + " block " + std::to_string(block.number);
+        content.resize(block.more ? block.size() : block.size() / 2, '.');
+        coap_message response =
+            this->make_response_to(request, coap_code::content, content);
+        response.set_uint(coap_option_number::block2, encode_block(block));
+        this->socket.send(from, this->codec.encode(response));
+    }
+
+    std::string board() const
+    {
+        return this->options.service + " board " +
+               std::to_string(this->board_version);
+    }
+
+    coap_message make_response_to(
+        const coap_message& request, coap_code code, const std::string& text)
+    {
+        coap_message response;
+        response.type = coap_type::non_confirmable;
+        response.code = code;
+        response.message_id = this->next_message_id++;
+        response.token = request.token;
+        response.payload.assign(text.begin(), text.end());
+        return response;
+    }
+
+    void answer(
+        const endpoint& to,
+        const coap_message& request,
+        coap_code code,
+        const std::string& text)
+    {
+        this->socket.send(
+            to,
+            this->codec.encode(this->make_response_to(request, code, text)));
+    }
+
+    void log(const std::string& resource, const std::string& id)
+    {
+        ++this->executions;
+        if (!this->options.log_file.empty())
+        {
+            std::ofstream out(this->options.log_file, std::ios::app);
+            out << this->epoch << ' ' << resource << ' ' << id << '\n';
+        }
+    }
+
+    void announce()
+    {
+        if (steady::now() >= this->down_until)
+        {
+            coap_message message;
+            message.type = coap_type::non_confirmable;
+            message.code = coap_code::post;
+            message.message_id = this->next_message_id++;
+            message.add_text(coap_option_number::uri_path, "masticslip");
+            message.add_text(coap_option_number::uri_path, "announcement");
+            const std::string text = json::serialize(json::object{
+                {"service", this->options.service},
+                {"epoch", this->epoch},
+                {"draining", this->draining}});
+            message.payload.assign(text.begin(), text.end());
+            this->socket.send(
+                this->options.companion, this->codec.encode(message));
+        }
+        this->announce_timer.expires_after(announce_interval);
+        this->announce_timer.async_wait(
+            [this](const boost::system::error_code& error)
+            {
+                if (!error)
+                {
+                    this->announce();
+                }
+            });
+    }
+
+    void notify_all()
+    {
+        ++this->board_version;
+        if (steady::now() >= this->down_until)
+        {
+            for (const auto& [token, item] : this->observers)
+            {
+                coap_message message = this->make_response_to(
+                    item.request, coap_code::content, this->board());
+                message.set_uint(
+                    coap_option_number::observe, this->board_version);
+                this->socket.send(item.to, this->codec.encode(message));
+            }
+        }
+        this->notify_timer.expires_after(this->options.notify_interval);
+        this->notify_timer.async_wait(
+            [this](const boost::system::error_code& error)
+            {
+                if (!error)
+                {
+                    this->notify_all();
+                }
+            });
+    }
+
+    asio::io_context& context;
+    upstream_options options;
+    libcoap_codec codec;
+    datagram_socket socket;
+    asio::steady_timer announce_timer;
+    asio::steady_timer notify_timer;
+    std::map<bytes, work> works;
+    std::map<bytes, observer> observers;
+    std::map<std::string, upload> uploads;
+    std::uint64_t epoch = 0;
+    steady::time_point cold_until;
+    steady::time_point down_until;
+    steady::time_point last_packet = steady::now();
+    std::uint32_t board_version = 0;
+    std::uint32_t peak = 0;
+    std::uint32_t peak_cold = 0;
+    std::uint64_t executions = 0;
+    std::uint64_t collapses = 0;
+    std::uint64_t shed_count = 0;
+    std::uint64_t packets = 0;
+    std::uint16_t next_message_id = 1;
+    bool draining = false;
+};
+
+std::chrono::milliseconds
+get_time(const setting_values& values, const std::string& name)
+{
+    return std::chrono::milliseconds(std::stoul(values.get(name)));
+}
+
+} // namespace
+} // namespace masticslip::standins
+
+int main(int argc, char** argv)
+{
+    using namespace masticslip;
+    constexpr std::uint64_t max_time = 3'600'000;
+    const setting_table table(
+        "upstream", "0.1.0",
+        {{"bind", "UDP address", "", required(endpoint_value())},
+         {"control", "HTTP address for control", "",
+          required(endpoint_value())},
+         {"companion", "UDP address of the companion", "",
+          required(endpoint_value())},
+         {"service", "Name of the service", "", required(any_value())},
+         {"slots", "Requests run at once", "5", number_value(1, 1000)},
+         {"service-time-ms", "Time of one request", "20",
+          number_value(0, max_time)},
+         {"cold-ms", "Length of the cold start", "2000",
+          number_value(0, max_time)},
+         {"notify-ms", "Interval of board changes", "500",
+          number_value(10, max_time)},
+         {"execution-log", "File with a line for each run", "", any_value()}});
+    std::vector<std::string> faults;
+    const auto values = table.read(argc, argv, faults);
+    if (!values)
+    {
+        std::cerr << "upstream: " << faults.front() << '\n';
+        return exit_usage;
+    }
+    standins::upstream_options options;
+    options.bind = *parse_endpoint(values->get("bind"));
+    options.control = *parse_endpoint(values->get("control"));
+    options.companion = *parse_endpoint(values->get("companion"));
+    options.service = values->get("service");
+    options.slots =
+        static_cast<std::uint32_t>(std::stoul(values->get("slots")));
+    options.service_time = standins::get_time(*values, "service-time-ms");
+    options.cold_time = standins::get_time(*values, "cold-ms");
+    options.notify_interval = standins::get_time(*values, "notify-ms");
+    options.log_file = values->get("execution-log");
+    boost::asio::io_context context(1);
+    standins::upstream server(context, options);
+    http_server control(
+        context, [&](http_request request, boost::beast::tcp_stream& stream)
+        { return server.on_control(std::move(request), stream); });
+    std::string reason;
+    if (!server.open(reason) || !control.open(options.control, reason))
+    {
+        std::cerr << "upstream: " << reason << '\n';
+        return EXIT_FAILURE;
+    }
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&context](auto, int) { context.stop(); });
+    context.run();
+    return EXIT_SUCCESS;
+}
