Stop packets from circling between companions; renew watches under new tokens

Two companions could each hold a redirect that named the other after a create message was lost, and refreshed both for ever. Two overloaded companions passed one request back and forth until its hop limit. After an upstream restart, notifications came under the token of the new registration, which no watch knew.

Ruled out: loss on the caller's link alone (six transmissions at 5 % loss) and late 4.01 answers; a trace of one request showed no delivery to any upstream.

Change: a packet that came over a redirect never follows another; only a flow's owner can answer that it owns it. A request is passed on at most once. A renewed watch moves to its new exchange.

Conclusion: each has its own test (at_most_once, ownership).

--- a/include/masticslip/core/detail/ownership_controller.hpp
+++ b/include/masticslip/core/detail/ownership_controller.hpp
@@ -114,6 +114,7 @@
     bool follow_redirect(time_point now, const forward_message& message);
     void start_look_up(time_point now, const forward_message& message);
     void send_queries(const flow_key& flow, const look_up& state);
+    void ask_also(const flow_key& flow, look_up& state, instance_id target);
     void conclude(time_point now, const flow_key& flow);
     void resolve(
         time_point now,
--- a/include/masticslip/core/detail/request_controller.hpp
+++ b/include/masticslip/core/detail/request_controller.hpp
@@ -91,6 +91,7 @@
         coap_message request;
         request_key key;
         std::uint8_t hops = 0;
+        forward_mode mode = forward_mode::owner;
         time_point started;
         time_point deadline;
         /// For hand_over: the message and its sender.
--- a/include/masticslip/core/detail/request_filters.hpp
+++ b/include/masticslip/core/detail/request_filters.hpp
@@ -27,6 +27,13 @@
         return this->message.flow;
     }
 
+    /// A request is passed on once at most: two companions that pass it to
+    /// each other would leave it without an answer.
+    [[nodiscard]] bool may_transfer() const
+    {
+        return this->message.mode != forward_mode::transfer;
+    }
+
     /// True if the request continues a multi-block transfer.
     [[nodiscard]] bool continues_transfer() const;
 };
--- a/include/masticslip/core/detail/watch_controller.hpp
+++ b/include/masticslip/core/detail/watch_controller.hpp
@@ -47,6 +47,9 @@
     /// the Observe value for the first answer.
     std::uint32_t start(time_point now, watch_start start);
 
+    /// Moves a watch to the exchange that registered it again.
+    void renew(exchange_id former, exchange_id current);
+
     /// Passes a notification on. False if the watch is unknown.
     bool on_notification(
         time_point now, exchange_id id, const coap_message& notification);
--- a/src/core/ownership_controller.cpp
+++ b/src/core/ownership_controller.cpp
@@ -49,6 +49,14 @@
         }
         return;
     }
+    // A packet that came over a redirect must not follow another one: two
+    // stale redirects would send it round in a circle.
+    const bool came_over_redirect =
+        message.mode == forward_mode::owner && message.hops > 0;
+    if (came_over_redirect)
+    {
+        this->redirects.erase(message.flow);
+    }
     if (!this->follow_redirect(now, message))
     {
         this->start_look_up(now, message);
@@ -99,16 +107,9 @@
         this->resolve(now, answer.flow, header.sender, forward_mode::owner);
         return;
     }
-    const bool useful_redirect =
-        answer.knowledge == flow_knowledge::redirected &&
-        answer.owner != this->context.settings.self &&
-        std::find(
-            state.unanswered.begin(), state.unanswered.end(), answer.owner) !=
-            state.unanswered.end();
-    if (useful_redirect)
+    if (answer.knowledge == flow_knowledge::redirected)
     {
-        this->resolve(now, answer.flow, answer.owner, forward_mode::owner);
-        return;
+        this->ask_also(answer.flow, state, answer.owner);
     }
     const bool yields = answer.knowledge == flow_knowledge::looking_up &&
                         this->outranks_self(answer.flow, header.sender);
@@ -321,6 +322,22 @@
     }
 }
 
+void ownership_controller::ask_also(
+    const flow_key& flow, look_up& state, instance_id target)
+{
+    // A redirect may be stale: only the target itself can say that it owns
+    // the flow.
+    const bool asked = std::any_of(
+        state.candidates.begin(), state.candidates.end(),
+        [target](const candidate_load& item) { return item.id == target; });
+    if (!asked && target != this->context.settings.self)
+    {
+        state.candidates.push_back({target, 0, 1, 0, false});
+        state.unanswered.push_back(target);
+        this->context.output.send(target, flow_query{flow, state.query});
+    }
+}
+
 void ownership_controller::conclude(time_point now, const flow_key& flow)
 {
     look_up& state = this->look_ups.at(flow);
--- a/src/core/request_controller.cpp
+++ b/src/core/request_controller.cpp
@@ -16,7 +16,6 @@
 constexpr std::uint32_t max_bound_attempts = 3;
 constexpr std::size_t max_bound_packets = 4096;
 constexpr std::size_t max_queued = 4096;
-constexpr std::uint8_t max_retry_hops = 2;
 
 /// Identity of a request while it is in progress: flow and token.
 request_key make_token_key(const flow_key& flow, const coap_message& request)
@@ -78,6 +77,7 @@
     started.request = item.request;
     started.key = item.key;
     started.hops = item.message.hops;
+    started.mode = item.message.mode;
     const exchange_id id = this->start(item.now, std::move(started));
     this->by_token[make_token_key(item.flow(), item.request)] = id;
     owned_flow* flow = this->ownership.find(item.flow());
@@ -154,7 +154,8 @@
     this->finish(now, place);
     if (item.kind == exchange_kind::registration)
     {
-        this->watches.on_notification(now, item.watch, response);
+        this->watches.renew(item.watch, id);
+        this->watches.on_notification(now, id, response);
         return;
     }
     if (item.kind == exchange_kind::hand_over)
@@ -259,19 +260,19 @@
 
 bool request_controller::retry_refused(time_point now, const exchange& item)
 {
-    if (item.hops >= max_retry_hops || !this->context.retries.take())
-    {
-        return false;
-    }
     const bytes payload = this->context.codec.encode(item.request);
     forward_message message;
     message.flow = item.flow;
     message.entry = item.entry;
     message.trace = item.trace;
     message.hops = item.hops;
+    message.mode = item.mode;
     message.payload = payload;
     const request_context context{now, message, item.request, item.key};
-    if (context.continues_transfer())
+    const bool may_move = !context.continues_transfer() &&
+                          context.may_transfer() &&
+                          this->context.retries.take();
+    if (!may_move)
     {
         return false;
     }
--- a/src/core/request_filters.cpp
+++ b/src/core/request_filters.cpp
@@ -6,8 +6,6 @@
 namespace
 {
 
-constexpr std::uint8_t max_overflow_hops = 2;
-
 /// Deals with requests that were seen before.
 class duplicate_filter final : public request_filter
 {
@@ -150,7 +148,9 @@
         {
             return true;
         }
-        if (!this->actions.transfer(request))
+        const bool moved =
+            request.may_transfer() && this->actions.transfer(request);
+        if (!moved)
         {
             this->actions.refuse(request, this->reason());
         }
@@ -195,8 +195,8 @@
         {
             return true;
         }
-        const bool may_move = !request.continues_transfer() &&
-                              request.message.hops < max_overflow_hops;
+        const bool may_move =
+            !request.continues_transfer() && request.may_transfer();
         const bool moved = may_move && this->context.retries.take() &&
                            this->actions.transfer(request);
         if (!moved)
--- a/src/core/watch_controller.cpp
+++ b/src/core/watch_controller.cpp
@@ -62,6 +62,17 @@
     return observe;
 }
 
+void watch_controller::renew(exchange_id former, exchange_id current)
+{
+    auto node = this->watches.extract(former);
+    if (!node.empty())
+    {
+        node.key() = current;
+        node.mapped().origin.id = current;
+        this->watches.insert(std::move(node));
+    }
+}
+
 bool watch_controller::on_notification(
     time_point now, exchange_id id, const coap_message& notification)
 {
--- /dev/null
+++ b/tests/at_most_once_test.cpp
@@ -0,0 +1,152 @@
+// At-most-once and the three distinct ends, under faults and virtual time.
+
+#define BOOST_TEST_MODULE at_most_once
+#include "support/virtual_fleet.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+#include <iostream>
+
+namespace
+{
+
+using namespace masticslip;
+using namespace masticslip::testing;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+struct fault_case
+{
+    const char* name;
+    link_faults faults;
+    /// Odds in a thousand that a fault happens beside each request.
+    unsigned companion_kill;
+    unsigned companion_freeze;
+    unsigned upstream_restart;
+    unsigned entry_kill;
+    /// True if every request must get a final answer in time.
+    bool all_answered;
+};
+
+std::ostream& operator<<(std::ostream& out, const fault_case& item)
+{
+    return out << item.name;
+}
+
+const fault_case fault_cases[] = {
+    {"lossy_links", {0.05, 0.05, 200us, 5ms}, 0, 0, 0, 0, true},
+    {"slow_links", {0.01, 0.1, 1ms, 80ms}, 0, 0, 0, 0, true},
+    {"companion_kills", {0.01, 0.02, 200us, 3ms}, 10, 0, 0, 0, true},
+    {"companion_freezes", {0.01, 0.02, 200us, 3ms}, 0, 10, 0, 0, false},
+    {"upstream_restarts", {0.01, 0.02, 200us, 3ms}, 0, 0, 20, 0, true},
+    {"entry_kills", {0.01, 0.02, 200us, 3ms}, 0, 0, 0, 10, true},
+    {"everything", {0.03, 0.05, 200us, 20ms}, 5, 5, 5, 5, false}};
+
+constexpr std::size_t callers = 40;
+
+/// Requests of one run; the promise asks for 100,000 over all runs.
+std::size_t requests_of_run()
+{
+    constexpr std::size_t ordinary = 7200;
+    const char* wish = std::getenv("MASTICSLIP_TEST_REQUESTS");
+    return wish != nullptr ? std::stoul(wish) : ordinary;
+}
+
+class fault_injector
+{
+public:
+    fault_injector(
+        virtual_fleet& fleet, const fault_case& faults, unsigned seed)
+        : fleet(fleet), faults(faults), random(seed)
+    {
+    }
+
+    void step()
+    {
+        const std::size_t companion =
+            this->random() % this->fleet.companion_count();
+        if (this->happens(this->faults.companion_kill))
+        {
+            this->fleet.kill_companion(companion);
+            this->fleet.start_companion(companion);
+        }
+        if (this->happens(this->faults.companion_freeze))
+        {
+            const auto span = duration(this->random() % 4'000'000);
+            this->fleet.freeze_companion(companion, span);
+        }
+        if (this->happens(this->faults.upstream_restart))
+        {
+            this->fleet.restart_upstream(companion);
+        }
+        if (this->happens(this->faults.entry_kill))
+        {
+            const std::size_t entry = this->random() % 3;
+            this->fleet.kill_entry(entry);
+            this->fleet.start_entry(entry);
+        }
+    }
+
+private:
+    bool happens(unsigned per_mille)
+    {
+        return this->random() % 1000 < per_mille;
+    }
+
+    virtual_fleet& fleet;
+    const fault_case& faults;
+    std::mt19937 random;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(at_most_once)
+
+BOOST_DATA_TEST_CASE(
+    no_request_runs_twice_and_not_run_is_true,
+    data::make(fault_cases) * data::xrange(2),
+    faults,
+    seed)
+{
+    virtual_options options;
+    options.entries = 3;
+    options.companions = 4;
+    options.callers = callers;
+    options.seed = static_cast<std::uint64_t>(seed) + 100;
+    options.faults = faults.faults;
+    virtual_fleet fleet(options);
+    fleet.run_for(3s);
+    fault_injector injector(fleet, faults, static_cast<unsigned>(seed) + 1);
+    const std::size_t wanted = requests_of_run();
+
+    for (std::size_t i = 0; i < wanted; ++i)
+    {
+        fleet.post(i % callers);
+        injector.step();
+        fleet.run_for(5ms);
+    }
+    fleet.run_for(60s);
+
+    const auto broken = fleet.violations();
+    std::cout << faults.name << " seed " << seed << ": requests "
+              << fleet.requests().size() << " done "
+              << fleet.count(request_end::done) << " not_run "
+              << fleet.count(request_end::not_run) << " unknown "
+              << fleet.count(request_end::unknown) << " no_answer "
+              << fleet.count(request_end::no_answer) << " violations "
+              << broken.size() << '\n';
+    BOOST_TEST(
+        broken.empty(), broken.size() << " violations, the first: "
+                                      << (broken.empty() ? "" : broken[0]));
+    BOOST_TEST(fleet.count(request_end::pending) == 0U);
+    if (faults.all_answered)
+    {
+        BOOST_TEST(fleet.count(request_end::no_answer) == 0U);
+    }
+    BOOST_TEST(fleet.count(request_end::done) > wanted / 4);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/ownership_test.cpp
@@ -0,0 +1,234 @@
+// Ownership of flows without agreement among entries, under faults.
+
+#define BOOST_TEST_MODULE ownership
+#include "support/virtual_fleet.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace
+{
+
+using namespace masticslip;
+using namespace masticslip::testing;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+constexpr duration notify_interval = 250ms;
+
+/// Publishes board changes at a fixed interval.
+void run_with_news(virtual_fleet& fleet, duration span)
+{
+    for (duration passed{}; passed < span; passed += notify_interval)
+    {
+        fleet.publish();
+        fleet.run_for(notify_interval);
+    }
+}
+
+void start_watches(virtual_fleet& fleet, std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        fleet.watch(i);
+        fleet.run_for(100ms);
+    }
+}
+
+/// Watches that missed news for longer than the limit, or ended.
+std::size_t
+count_broken(const virtual_fleet& fleet, std::size_t callers, duration limit)
+{
+    std::size_t broken = 0;
+    for (std::size_t i = 0; i < callers; ++i)
+    {
+        const watch_track& watch = fleet.watch_of(i);
+        const duration gap =
+            std::max(watch.longest_gap, fleet.now() - watch.last_news);
+        broken += watch.ended || !watch.established || gap > limit ? 1 : 0;
+    }
+    return broken;
+}
+
+virtual_options watch_options(std::uint64_t seed)
+{
+    virtual_options options;
+    options.entries = 4;
+    options.companions = 6;
+    options.callers = 24;
+    options.seed = seed;
+    options.faults = {0.02, 0.02, 200us, 5ms};
+    return options;
+}
+
+/// A notification that is lost is repeated after two seconds.
+constexpr duration patience = 8s;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ownership)
+
+BOOST_DATA_TEST_CASE(
+    stale_redirects_do_not_send_packets_in_a_circle, data::xrange(5), seed)
+{
+    virtual_options options;
+    options.entries = 3;
+    options.companions = 4;
+    options.callers = 40;
+    options.seed = static_cast<std::uint64_t>(seed) + 500;
+    options.faults = {0.10, 0.0, 200us, 5ms};
+    virtual_fleet fleet(options);
+    fleet.run_for(3s);
+
+    for (std::size_t i = 0; i < 800; ++i)
+    {
+        fleet.post(i % 40);
+        fleet.run_for(10ms);
+    }
+    fleet.set_faults({});
+    fleet.run_for(60s);
+
+    std::vector<std::size_t> last(40);
+    for (std::size_t caller = 0; caller < 40; ++caller)
+    {
+        last[caller] = fleet.post(caller);
+        fleet.run_for(200ms);
+    }
+    fleet.run_for(60s);
+    for (std::size_t caller = 0; caller < 40; ++caller)
+    {
+        BOOST_TEST(
+            (fleet.requests()[last[caller]].end == request_end::done),
+            "caller " << caller << " has no owner that answers");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(overloaded_companions_do_not_pass_a_request_in_a_circle)
+{
+    virtual_options options;
+    options.companions = 2;
+    options.callers = 60;
+    options.upstream_slots = 1;
+    options.service_time = 100ms;
+    virtual_fleet fleet(options);
+    fleet.run_for(3s);
+
+    for (std::size_t i = 0; i < 600; ++i)
+    {
+        fleet.post(i % 60);
+        fleet.run_for(10ms);
+    }
+    fleet.run_for(60s);
+
+    BOOST_TEST(fleet.count(request_end::no_answer) == 0U);
+    BOOST_TEST(fleet.count(request_end::not_run) > 0U);
+    BOOST_TEST(fleet.violations().empty());
+}
+
+BOOST_DATA_TEST_CASE(watches_survive_the_loss_of_entries, data::xrange(3), seed)
+{
+    virtual_fleet fleet(watch_options(static_cast<std::uint64_t>(seed) + 1));
+    fleet.run_for(3s);
+    start_watches(fleet, 24);
+
+    run_with_news(fleet, 3s);
+    fleet.kill_entry(0);
+    run_with_news(fleet, 10s);
+    fleet.start_entry(0);
+    fleet.freeze_entry(1, 4s);
+    run_with_news(fleet, 10s);
+    fleet.kill_entry(2);
+    fleet.start_entry(2);
+    run_with_news(fleet, 10s);
+
+    BOOST_TEST(count_broken(fleet, 24, patience) == 0U);
+}
+
+BOOST_DATA_TEST_CASE(
+    watches_survive_while_the_service_doubles, data::xrange(3), seed)
+{
+    virtual_fleet fleet(watch_options(static_cast<std::uint64_t>(seed) + 10));
+    fleet.run_for(3s);
+    start_watches(fleet, 24);
+
+    for (std::size_t i = 0; i < 6; ++i)
+    {
+        fleet.add_companion(i % 3);
+        run_with_news(fleet, 2s);
+    }
+    // Entries that lose their caches rank the newcomers too.
+    for (std::size_t i = 0; i < 4; ++i)
+    {
+        fleet.kill_entry(i);
+        fleet.start_entry(i);
+        run_with_news(fleet, 3s);
+    }
+
+    BOOST_TEST(count_broken(fleet, 24, patience) == 0U);
+}
+
+BOOST_DATA_TEST_CASE(
+    watches_move_to_a_sibling_when_a_companion_drains, data::xrange(3), seed)
+{
+    virtual_fleet fleet(watch_options(static_cast<std::uint64_t>(seed) + 20));
+    fleet.run_for(3s);
+    start_watches(fleet, 24);
+    run_with_news(fleet, 2s);
+
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        fleet.drain_companion(i);
+        run_with_news(fleet, 4s);
+        BOOST_TEST(fleet.companion(i)->is_drained(fleet.now()));
+        fleet.kill_companion(i);
+        run_with_news(fleet, 4s);
+    }
+
+    BOOST_TEST(count_broken(fleet, 24, patience) == 0U);
+    BOOST_TEST(fleet.events(event_kind::watch_handed_over) > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(death_of_an_upstream_breaks_only_its_own_watches)
+{
+    virtual_fleet fleet(watch_options(30));
+    fleet.run_for(3s);
+    start_watches(fleet, 24);
+    run_with_news(fleet, 2s);
+
+    const std::size_t own = fleet.companion(0)->status().watches;
+    fleet.kill_companion(0);
+    fleet.upstream(0).alive = false;
+    run_with_news(fleet, 20s);
+
+    BOOST_TEST(count_broken(fleet, 24, patience) == own);
+}
+
+BOOST_AUTO_TEST_CASE(restart_of_an_upstream_renews_its_watches)
+{
+    virtual_fleet fleet(watch_options(40));
+    fleet.run_for(3s);
+    start_watches(fleet, 24);
+    run_with_news(fleet, 2s);
+
+    fleet.restart_upstream(0);
+    run_with_news(fleet, 15s);
+
+    BOOST_TEST(count_broken(fleet, 24, patience) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_frozen_owner_keeps_its_flows)
+{
+    virtual_options options = watch_options(50);
+    options.faults = {};
+    virtual_fleet fleet(options);
+    fleet.run_for(3s);
+    start_watches(fleet, 24);
+
+    fleet.freeze_companion(0, 3s);
+    run_with_news(fleet, 20s);
+
+    BOOST_TEST(count_broken(fleet, 24, patience) == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/support/virtual_fleet.hpp
@@ -0,0 +1,270 @@
+#pragma once
+/// A few cores joined by faulty links under virtual time, with fake upstreams
+/// and callers. Everything is driven by one seed, so a run repeats exactly.
+///
+///     virtual_fleet fleet({.companions = 3, .seed = 7});
+///     fleet.run_for(2s);
+///     fleet.post(0);
+///     fleet.run_for(60s);
+///     BOOST_TEST(fleet.violations().empty());
+
+#include "libcoap_codec.hpp"
+#include "masticslip/core/companion_core.hpp"
+#include "masticslip/core/entry_core.hpp"
+#include "masticslip/wire/message_codec.hpp"
+
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace masticslip::testing
+{
+
+/// Faults of all links between processes and to callers.
+struct link_faults
+{
+    double loss = 0;
+    double duplication = 0;
+    duration shortest_delay = std::chrono::microseconds(200);
+    duration longest_delay = std::chrono::microseconds(800);
+};
+
+/// What to build.
+struct virtual_options
+{
+    std::size_t entries = 2;
+    std::size_t companions = 3;
+    std::size_t callers = 4;
+    std::size_t failure_domains = 3;
+    std::uint64_t seed = 1;
+    link_faults faults;
+    duration service_time = std::chrono::milliseconds(20);
+    duration upstream_cold_time{};
+    std::uint32_t upstream_slots = 5;
+    limit_policy policy = limit_policy::aimd;
+    std::uint32_t choice_width = 3;
+    service_protocol protocol = service_protocol::coap;
+    std::function<void(companion_settings&)> adjust;
+};
+
+/// How a request ended for the caller.
+enum class request_end : std::uint8_t
+{
+    pending,
+    done,
+    not_run,
+    unknown,
+    no_answer
+};
+
+/// One non-idempotent request of a caller.
+struct request_track
+{
+    std::size_t caller = 0;
+    request_end end = request_end::pending;
+    std::string text;
+    std::uint32_t executions = 0;
+    /// Bytes of this request that reached an upstream.
+    std::uint32_t deliveries = 0;
+    time_point started;
+    time_point ended;
+    std::uint32_t retry_after = 0;
+    bool idempotent = false;
+};
+
+/// State of a caller's watch.
+struct watch_track
+{
+    bool established = false;
+    std::uint64_t notifications = 0;
+    std::uint64_t stale = 0;
+    std::uint32_t last_observe = 0;
+    time_point last_news;
+    duration longest_gap{};
+    bool ended = false;
+    std::string end_text;
+};
+
+/// A fake upstream beside a companion.
+struct fake_upstream
+{
+    struct work
+    {
+        coap_message request;
+        bool running = false;
+        time_point ends;
+        time_point deadline;
+    };
+
+    std::uint64_t epoch = 1;
+    std::string service;
+    bool alive = true;
+    bool draining = false;
+    bool silent = false;
+    time_point cold_until;
+    std::map<bytes, work> works;
+    std::map<bytes, coap_message> observers;
+    std::uint32_t peak = 0;
+    std::uint32_t peak_cold = 0;
+    std::uint32_t collapses = 0;
+    std::uint64_t completed = 0;
+    std::uint64_t packets = 0;
+    std::uint64_t foreign_packets = 0;
+    time_point last_packet;
+    /// Sum over time of requests in progress, for averages.
+    double busy_time = 0;
+};
+
+/// Not thread-safe.
+class virtual_fleet
+{
+public:
+    explicit virtual_fleet(virtual_options options);
+    ~virtual_fleet();
+
+    /// Advances virtual time.
+    void run_for(duration span);
+
+    [[nodiscard]] time_point now() const
+    {
+        return this->clock;
+    }
+
+    /// Puts a changed configuration into force at one entry.
+    void change(
+        const std::function<void(configuration&)>& edit, std::size_t entry = 0);
+
+    [[nodiscard]] const configuration& config() const
+    {
+        return this->document;
+    }
+
+    void kill_entry(std::size_t index);
+    void start_entry(std::size_t index);
+    void freeze_entry(std::size_t index, duration span);
+    void kill_companion(std::size_t index);
+    void start_companion(std::size_t index);
+    void freeze_companion(std::size_t index, duration span);
+    void drain_companion(std::size_t index);
+    std::size_t add_companion(std::size_t domain);
+    void restart_upstream(std::size_t index);
+    void set_faults(const link_faults& faults);
+
+    /// Cuts or heals the link between two instances, in both directions.
+    void set_cut(instance_id first, instance_id second, bool cut);
+
+    /// Starts a non-idempotent request; returns its number.
+    std::size_t post(std::size_t caller);
+
+    /// Starts an idempotent request; returns its number.
+    std::size_t get(std::size_t caller);
+
+    /// Sends a datagram of a caller as it is, through one entry.
+    void inject(std::size_t caller, std::size_t entry, const bytes& datagram);
+
+    void watch(std::size_t caller);
+    /// Changes the board: every upstream notifies its observers.
+    void publish();
+
+    [[nodiscard]] const std::vector<request_track>& requests() const
+    {
+        return this->tracks;
+    }
+
+    [[nodiscard]] const watch_track& watch_of(std::size_t caller) const;
+
+    [[nodiscard]] fake_upstream& upstream(std::size_t index);
+    [[nodiscard]] companion_core* companion(std::size_t index);
+    [[nodiscard]] entry_core* entry(std::size_t index);
+    [[nodiscard]] instance_id companion_id(std::size_t index) const;
+    [[nodiscard]] instance_id entry_id(std::size_t index) const;
+    [[nodiscard]] std::size_t companion_count() const
+    {
+        return this->companions.size();
+    }
+
+    /// Broken rules of at-most-once and of the three ends, one line each.
+    [[nodiscard]] std::vector<std::string> violations() const;
+
+    [[nodiscard]] std::size_t count(request_end end) const;
+
+    /// Events reported by all cores.
+    [[nodiscard]] std::uint64_t events(event_kind kind) const;
+
+    /// Last Echo value that a caller was given.
+    [[nodiscard]] const bytes& echo_of(std::size_t caller) const;
+
+    /// Endpoint of a caller.
+    [[nodiscard]] endpoint caller_address(std::size_t index) const;
+
+    /// Called with each datagram that a caller receives.
+    std::function<void(std::size_t caller, const coap_message&)> on_delivery;
+
+private:
+    struct entry_node;
+    struct companion_node;
+    struct caller_node;
+    struct pending_event
+    {
+        time_point when;
+        std::uint64_t order;
+        std::function<void()> run;
+        bool operator>(const pending_event& other) const
+        {
+            return std::tie(this->when, this->order) >
+                   std::tie(other.when, other.order);
+        }
+    };
+    class counting_sink;
+
+    void at(time_point when, std::function<void()> run);
+    void link(
+        instance_id from, instance_id to, const std::function<void()>& deliver);
+    void send_internal(instance_id from, instance_id to, byte_view datagram);
+    void deliver_internal(instance_id to, const bytes& datagram);
+    void tick_all();
+    void upstream_receive(companion_node& node, const coap_message& message);
+    void upstream_tick(companion_node& node);
+    void upstream_execute(companion_node& node, const coap_message& request);
+    void upstream_answer(
+        companion_node& node,
+        const coap_message& request,
+        coap_code code,
+        const std::string& text,
+        bool observe);
+    void caller_send(caller_node& caller, const bytes& token);
+    void caller_receive(std::size_t index, const bytes& datagram);
+    void caller_tick(std::size_t index);
+    void finish_request(
+        caller_node& caller, const bytes& token, const coap_message* answer);
+    std::size_t start_request(std::size_t caller, coap_code code);
+    bytes next_token();
+
+    virtual_options options;
+    std::mt19937_64 random;
+    time_point clock;
+    std::uint64_t next_order = 0;
+    std::uint64_t next_life = 1;
+    std::uint32_t next_token_value = 1;
+    std::vector<pending_event> queue;
+    configuration document;
+    libcoap_codec codec;
+    std::unique_ptr<counting_sink> sink;
+    std::vector<std::unique_ptr<entry_node>> entries;
+    std::vector<std::unique_ptr<companion_node>> companions;
+    std::vector<std::unique_ptr<caller_node>> callers;
+    std::vector<request_track> tracks;
+    std::set<std::pair<instance_id, instance_id>> cuts;
+    std::uint32_t board_version = 1;
+};
+
+/// Endpoint of the entries' and companions' fake network.
+constexpr const char* virtual_service = "meetups";
+
+} // namespace masticslip::testing
