--- /dev/null
+++ b/fuzz/fuzz_targets.cpp
@@ -0,0 +1,390 @@
+// Fuzz targets for every decoder: mutated valid inputs and random octets, a
+// fixed number of inputs with a fixed seed. A crash, a sanitizer report or an
+// uncaught exception fails the run.
+//
+//     fuzz_targets TARGET INPUTS SEED
+//
+// Targets: coap, wire, configuration, audit, entry, companion, all.
+
+#include "libcoap_codec.hpp"
+#include "masticslip/core/companion_core.hpp"
+#include "masticslip/core/configuration.hpp"
+#include "masticslip/core/entry_core.hpp"
+#include "masticslip/wire/message_codec.hpp"
+#include "platform/change_log.hpp"
+
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <random>
+#include <string>
+
+#include <sodium.h>
+
+namespace
+{
+
+using namespace masticslip;
+using namespace std::chrono_literals;
+
+const shared_key key{1, 2, 3};
+const instance_id self{endpoint{0x7f000001, 7000}.packed()};
+const instance_id peer{endpoint{0x7f000002, 7000}.packed()};
+
+constexpr const char* document =
+    R"({"schema":1,"generation":1,"services":[{"name":"meetups",)"
+    R"("address":"127.0.0.1:5683"}],"failure_domains":["a","b"],)"
+    R"("withdrawn_domains":["b"],"presets":[{"name":"p","weights":{"a":2},)"
+    R"("limits":{"max_in_flight":3}}],"preset_in_force":"p"})";
+
+/// Produces mutated inputs.
+class mutator
+{
+public:
+    explicit mutator(std::uint64_t seed) : random(seed)
+    {
+    }
+
+    std::uint64_t next()
+    {
+        return this->random();
+    }
+
+    bytes mutate(bytes input)
+    {
+        const std::uint64_t changes = 1 + this->random() % 6;
+        for (std::uint64_t i = 0; i < changes; ++i)
+        {
+            this->mutate_once(input);
+        }
+        return input;
+    }
+
+    bytes noise()
+    {
+        bytes result(this->random() % 120);
+        for (auto& octet : result)
+        {
+            octet = static_cast<std::uint8_t>(this->random());
+        }
+        return result;
+    }
+
+private:
+    void mutate_once(bytes& input)
+    {
+        if (input.empty())
+        {
+            input.push_back(0);
+        }
+        const std::size_t place = this->random() % input.size();
+        const auto at = input.begin() + static_cast<std::ptrdiff_t>(place);
+        switch (this->random() % 6)
+        {
+        case 0:
+            *at ^= static_cast<std::uint8_t>(1U << (this->random() % 8));
+            break;
+        case 1:
+            *at = static_cast<std::uint8_t>(this->random());
+            break;
+        case 2:
+            input.resize(place);
+            break;
+        case 3:
+            input.insert(at, static_cast<std::uint8_t>(this->random()));
+            break;
+        case 4:
+            *at = this->random() % 2 == 0 ? 0x00 : 0xff;
+            break;
+        default:
+            input.insert(input.end(), input.begin(), at);
+            break;
+        }
+        constexpr std::size_t longest = 4096;
+        input.resize(std::min(input.size(), longest));
+    }
+
+    std::mt19937_64 random;
+};
+
+class silent_sink final : public event_sink
+{
+public:
+    void on_event(time_point, const core_event&) override
+    {
+    }
+};
+
+class silent_entry_output final : public entry_output
+{
+public:
+    void send(instance_id, const internal_message&) override
+    {
+    }
+    void send_to_caller(const flow_key&, byte_view) override
+    {
+    }
+    void refuse_caller(
+        const flow_key&, byte_view, result_code, std::chrono::seconds) override
+    {
+    }
+    void on_configuration(const configuration&) override
+    {
+    }
+};
+
+class silent_companion_output final : public companion_output
+{
+public:
+    void send(instance_id, const internal_message&) override
+    {
+    }
+    void send_to_upstream(byte_view) override
+    {
+    }
+    void send_datagram_to_upstream(const flow_key&, byte_view) override
+    {
+    }
+    void close_datagram_flow(const flow_key&) override
+    {
+    }
+};
+
+std::vector<bytes> coap_samples()
+{
+    const libcoap_codec codec;
+    coap_message request;
+    request.code = coap_code::post;
+    request.token = {1, 2, 3, 4};
+    request.add_text(coap_option_number::uri_path, "signup");
+    request.set(coap_option_number::echo, bytes(40, 1));
+    request.set_uint(coap_option_number::block1, 0x1e);
+    request.set_uint(coap_option_number::observe, 0);
+    request.set_uint(coap_option_number::deadline, 1000);
+    request.payload = {'x'};
+    coap_message acknowledgement;
+    acknowledgement.type = coap_type::acknowledgement;
+    acknowledgement.message_id = 7;
+    coap_message notification = request;
+    notification.code = coap_code::content;
+    return {
+        codec.encode(request), codec.encode(acknowledgement),
+        codec.encode(notification)};
+}
+
+std::vector<internal_message> wire_samples(const bytes& payload)
+{
+    member_record record;
+    record.id = peer;
+    record.life = {1};
+    record.version = 1;
+    record.service = make_service_id("meetups");
+    record.name = "name";
+    forward_message forward;
+    forward.flow = {{0x7f000001, 4000}, make_service_id("meetups")};
+    forward.mode = forward_mode::look_up;
+    forward.candidates.add(self);
+    forward.payload = payload;
+    reply_message reply;
+    reply.payload = payload;
+    heartbeat_answer answer;
+    answer.entries = {peer};
+    answer.siblings = {{peer, {1}}};
+    watch_handoff handoff;
+    handoff.request = payload;
+    handoff.flow = forward.flow;
+    return {
+        forward,
+        reply,
+        heartbeat{record, {}},
+        answer,
+        gossip_message{{record}},
+        digest_message{},
+        config_push{document},
+        handoff,
+        flow_query{forward.flow, 1},
+        flow_query_answer{}};
+}
+
+void fuzz_coap(mutator& inputs, std::size_t count)
+{
+    const libcoap_codec codec;
+    const auto samples = coap_samples();
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        const bytes input = i % 4 == 0
+                                ? inputs.noise()
+                                : inputs.mutate(samples[i % samples.size()]);
+        const auto message = codec.decode(input);
+        if (message)
+        {
+            // What was decoded must encode to something that decodes alike.
+            const auto again = codec.decode(codec.encode(*message));
+            if (!again || !(*again == *message))
+            {
+                std::cerr << "coap: round trip differs at input " << i << '\n';
+                std::abort();
+            }
+        }
+    }
+}
+
+void fuzz_wire(mutator& inputs, std::size_t count)
+{
+    const bytes payload = coap_samples().front();
+    const auto samples = wire_samples(payload);
+    message_codec sender({peer, {1}}, {key});
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        message_codec receiver({self, {1}}, {key});
+        const auto view = sender.encode(self, 1, samples[i % samples.size()]);
+        bytes input = inputs.mutate({view.begin(), view.end()});
+        constexpr std::size_t tag_size = 16;
+        if (i % 4 != 0 && input.size() > tag_size)
+        {
+            // Signs the mutated content, to get past the authentication.
+            crypto_shorthash_siphashx24(
+                input.data(), input.data() + tag_size, input.size() - tag_size,
+                key.data());
+        }
+        failure_reason reason;
+        static_cast<void>(receiver.decode(input, reason));
+    }
+}
+
+void fuzz_text(
+    mutator& inputs,
+    std::size_t count,
+    const std::string& sample,
+    const std::function<void(const std::string&)>& decode)
+{
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        const bytes input = inputs.mutate({sample.begin(), sample.end()});
+        decode({input.begin(), input.end()});
+    }
+}
+
+void fuzz_configuration(mutator& inputs, std::size_t count)
+{
+    fuzz_text(
+        inputs, count, document,
+        [](const std::string& text)
+        {
+            failure_reason reason;
+            static_cast<void>(parse_configuration(text, reason));
+        });
+}
+
+void fuzz_audit(mutator& inputs, std::size_t count)
+{
+    audit_record record;
+    record.number = 3;
+    record.change_id = "c-1";
+    record.differences = {"a", "b"};
+    fuzz_text(
+        inputs, count, serialize_audit(record),
+        [](const std::string& text)
+        {
+            failure_reason reason;
+            static_cast<void>(parse_audit(text, reason));
+        });
+}
+
+/// Feeds a core with well-formed but senseless messages and packets.
+template <class Core, class Packet>
+void fuzz_core(mutator& inputs, std::size_t count, Core& core, Packet packet)
+{
+    const auto samples = coap_samples();
+    time_point now{1s};
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        now += duration(inputs.next() % 20'000);
+        const bytes payload = inputs.mutate(samples[i % samples.size()]);
+        const auto messages = wire_samples(payload);
+        const auto& message = messages[inputs.next() % messages.size()];
+        const message_header header{
+            peer, {inputs.next() % 3}, inputs.next() % 3};
+        core.on_message(now, header, message);
+        packet(now, payload);
+        core.on_tick(now);
+    }
+}
+
+void fuzz_entry(mutator& inputs, std::size_t count)
+{
+    silent_sink sink;
+    silent_entry_output output;
+    entry_settings settings;
+    settings.self = self;
+    settings.life = {1};
+    settings.cache_capacity = 100;
+    entry_core core(settings, output, sink);
+    fuzz_core(
+        inputs, count, core,
+        [&core](time_point now, const bytes& payload)
+        {
+            const flow_key flow{{0x7f000001, 4000}, make_service_id("meetups")};
+            core.on_caller_packet(now, flow, payload, {});
+        });
+}
+
+void fuzz_companion(mutator& inputs, std::size_t count)
+{
+    silent_sink sink;
+    silent_companion_output output;
+    const libcoap_codec codec;
+    companion_settings settings;
+    settings.self = self;
+    settings.life = {1};
+    settings.service = "meetups";
+    settings.failure_domain = "a";
+    settings.key = key;
+    companion_core core(settings, output, sink, codec);
+    fuzz_core(
+        inputs, count, core,
+        [&](time_point now, const bytes& payload)
+        {
+            core.on_announcement(
+                now, {"meetups", inputs.next() % 3, inputs.next() % 5 == 0});
+            core.on_upstream_datagram(now, payload);
+        });
+}
+
+using fuzz_target = std::function<void(mutator&, std::size_t)>;
+
+const std::map<std::string, fuzz_target>& target_table()
+{
+    static const std::map<std::string, fuzz_target> table{
+        {"audit", fuzz_audit},         {"coap", fuzz_coap},
+        {"companion", fuzz_companion}, {"configuration", fuzz_configuration},
+        {"entry", fuzz_entry},         {"wire", fuzz_wire}};
+    return table;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    if (argc != 4 || sodium_init() < 0)
+    {
+        std::cerr << "usage: fuzz_targets TARGET INPUTS SEED\n";
+        return 2;
+    }
+    const std::string wanted = argv[1];
+    const std::size_t count = std::strtoull(argv[2], nullptr, 10);
+    const std::uint64_t seed = std::strtoull(argv[3], nullptr, 10);
+    bool found = false;
+    for (const auto& [name, target] : target_table())
+    {
+        if (wanted == name || wanted == "all")
+        {
+            found = true;
+            mutator inputs(seed);
+            target(inputs, count);
+            std::cout << name << ": " << count << " inputs\n";
+        }
+    }
+    return found ? EXIT_SUCCESS : 2;
+}
