Let a new entry act only once a peer has confirmed its members

No companion had said so: the entry that was started anew knew no companion for up to two seconds, found no candidate, and refused by itself.

Ruled out: the hand-over of records (both companions finished it), and the coap retransmission of the caller.

Change: an entry sends its digest to its seeds at once and forwards nothing until one of them has answered with an equal digest (or none could be found for three seconds).

New test ownership/a_new_entry_refuses_nothing_before_it_knows_the_members.

--- a/include/masticslip/core/detail/membership_controller.hpp
+++ b/include/masticslip/core/detail/membership_controller.hpp
@@ -82,6 +82,14 @@
         return this->members;
     }
 
+    /// Asks entries for what this node lacks; until one has confirmed that
+    /// nothing is missing, `is_synchronized` is false.
+    void join(time_point now, const std::vector<instance_id>& seeds);
+
+    /// True once a peer has confirmed the table, or none could be found in
+    /// time.
+    [[nodiscard]] bool is_synchronized(time_point now) const;
+
     /// Digest of the whole table.
     [[nodiscard]] digest_message make_digest() const;
 
@@ -93,6 +101,7 @@
     };
 
     bool merge(time_point now, const member_record& record);
+    void repeat_join(time_point now);
     void send_gossip();
     void send_digest();
     void judge_silence(time_point now);
@@ -113,6 +122,10 @@
     std::deque<pending_delta> deltas;
     std::unordered_map<instance_id, observation> observations;
     std::unordered_map<instance_id, time_point> departed;
+    std::vector<instance_id> seeds;
+    time_point join_started;
+    time_point next_join;
+    bool synchronized = false;
     time_point next_gossip;
     time_point next_digest;
     time_point next_judgement;
--- a/include/masticslip/core/entry_core.hpp
+++ b/include/masticslip/core/entry_core.hpp
@@ -183,6 +183,7 @@
     std::map<std::uint32_t, pending_packet> pending;
     std::map<std::string, domain_evidence> domain_packets;
     std::uint32_t next_sequence = 1;
+    bool has_joined = false;
 };
 
 } // namespace masticslip
--- a/include/masticslip/core/messages.hpp
+++ b/include/masticslip/core/messages.hpp
@@ -191,6 +191,8 @@
 constexpr std::size_t digest_buckets = 64;
 struct digest_message
 {
+    /// True if it answers a digest; such a digest is not answered.
+    bool is_answer = false;
     std::array<std::uint64_t, digest_buckets> buckets{};
 };
 
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -167,6 +167,11 @@
 
 bool entry_core::may_act(time_point now)
 {
+    if (!this->has_joined)
+    {
+        this->has_joined = true;
+        this->membership.join(now, this->settings.seeds);
+    }
     if (this->freeze.observe(now))
     {
         core_event event;
@@ -176,6 +181,10 @@
         this->heartbeats.send_now(now);
     }
     const bool alone = this->members().entries().size() <= 1;
+    if (!this->membership.is_synchronized(now))
+    {
+        return false;
+    }
     return (alone || !this->freeze.must_wait(now)) &&
            this->configs.caught_up(now);
 }
--- a/src/core/membership_controller.cpp
+++ b/src/core/membership_controller.cpp
@@ -20,6 +20,9 @@
 constexpr duration suspect_after = 1500ms;
 constexpr duration remove_after = 3s;
 constexpr duration forget_after = 10min;
+constexpr duration join_interval = 100ms;
+/// A node that finds no peer for this long is the first one.
+constexpr duration join_limit = 3s;
 constexpr std::size_t gossip_fanout = 3;
 constexpr std::size_t gossip_batch = 16;
 constexpr std::size_t repair_batch = 64;
@@ -51,6 +54,7 @@
 
 void membership_controller::on_tick(time_point now)
 {
+    this->repeat_join(now);
     if (now >= this->next_gossip)
     {
         this->next_gossip = now + gossip_interval;
@@ -104,7 +108,13 @@
 void membership_controller::on_message(
     time_point, const message_header& header, const digest_message& message)
 {
-    const digest_message mine = this->make_digest();
+    digest_message mine = this->make_digest();
+    if (message.is_answer)
+    {
+        this->synchronized =
+            this->synchronized || mine.buckets == message.buckets;
+        return;
+    }
     gossip_message repair;
     for (const auto& [id, record] : this->members.all())
     {
@@ -124,6 +134,35 @@
     {
         this->output.send(header.sender, repair);
     }
+    mine.is_answer = true;
+    this->output.send(header.sender, mine);
+}
+
+void membership_controller::join(
+    time_point now, const std::vector<instance_id>& entries)
+{
+    this->seeds = entries;
+    std::erase(this->seeds, this->self);
+    this->join_started = now;
+    this->synchronized = this->seeds.empty();
+}
+
+bool membership_controller::is_synchronized(time_point now) const
+{
+    return this->synchronized || now - this->join_started > join_limit;
+}
+
+void membership_controller::repeat_join(time_point now)
+{
+    if (this->synchronized || now < this->next_join)
+    {
+        return;
+    }
+    this->next_join = now + join_interval;
+    for (const instance_id seed : this->seeds)
+    {
+        this->output.send(seed, this->make_digest());
+    }
 }
 
 void membership_controller::announce_self(
--- a/src/wire/message_archive.hpp
+++ b/src/wire/message_archive.hpp
@@ -322,6 +322,7 @@
 template <class Archive, is_message<digest_message> Message>
 void message_fields(Archive& archive, Message& message)
 {
+    archive.plain(message.is_answer);
     for (auto& bucket : message.buckets)
     {
         archive.plain(bucket);
--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -189,6 +189,31 @@
     BOOST_TEST(fleet.events(event_kind::watch_handed_over) > 0U);
 }
 
+BOOST_DATA_TEST_CASE(
+    a_new_entry_refuses_nothing_before_it_knows_the_members,
+    data::xrange(3),
+    seed)
+{
+    virtual_options options = watch_options(static_cast<std::uint64_t>(seed));
+    virtual_fleet fleet(options);
+    fleet.run_for(3s);
+
+    for (std::size_t i = 0; i < 300; ++i)
+    {
+        fleet.post(i % 24);
+        fleet.run_for(10ms);
+        if (i % 50 == 10)
+        {
+            fleet.kill_entry(i / 50 % 4);
+            fleet.start_entry(i / 50 % 4);
+        }
+    }
+    fleet.run_for(40s);
+
+    BOOST_TEST(fleet.entry_refusals() == 0U);
+    BOOST_TEST(fleet.count(request_end::no_answer) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(death_of_an_upstream_breaks_only_its_own_watches)
 {
     virtual_fleet fleet(watch_options(30));
--- a/tests/support/virtual_fleet.cpp
+++ b/tests/support/virtual_fleet.cpp
@@ -498,6 +498,16 @@
     return this->sink->counts.at(static_cast<std::size_t>(kind));
 }
 
+std::uint64_t virtual_fleet::entry_refusals() const
+{
+    std::uint64_t result = 0;
+    for (const auto& node : this->entries)
+    {
+        result += node->refusals;
+    }
+    return result;
+}
+
 const bytes& virtual_fleet::echo_of(std::size_t caller) const
 {
     return this->callers[caller]->echo;
--- a/tests/support/virtual_fleet.hpp
+++ b/tests/support/virtual_fleet.hpp
@@ -197,6 +197,9 @@
     /// Events reported by all cores.
     [[nodiscard]] std::uint64_t events(event_kind kind) const;
 
+    /// Packets that entries refused by themselves.
+    [[nodiscard]] std::uint64_t entry_refusals() const;
+
     /// Last Echo value that a caller was given.
     [[nodiscard]] const bytes& echo_of(std::size_t caller) const;
 
