--- a/include/masticslip/core/detail/retirement_controller.hpp
+++ b/include/masticslip/core/detail/retirement_controller.hpp
@@ -21,8 +21,11 @@
 {
     /// False: nothing is known; ask that companion.
     bool is_retired = false;
-    /// Null: the request was not and will not be run there.
+    /// Null: no record was left.
     const retired_request* record = nullptr;
+    /// Records of requests under Echo values issued before this time may have
+    /// been forgotten before the companion retired.
+    time_point complete_since;
 };
 
 /// Not thread-safe.
@@ -65,13 +68,14 @@
     {
         incarnation life;
         std::uint16_t parts = 0;
+        time_point retired_at;
         std::set<std::uint16_t> received;
         std::map<request_digest, retired_request> requests;
         time_point expires;
     };
 
     [[nodiscard]] std::vector<retirement_message>
-    make_messages(const execution_records& records) const;
+    make_messages(time_point now, const execution_records& records) const;
     void send_missing();
     void forget_expired(time_point now);
 
--- a/include/masticslip/core/messages.hpp
+++ b/include/masticslip/core/messages.hpp
@@ -253,6 +253,8 @@
 {
     std::uint16_t part = 0;
     std::uint16_t parts = 1;
+    /// On the sender's clock, as the issue times in its Echo values.
+    time_point retired_at;
     std::vector<retired_request> requests;
 };
 
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -228,13 +228,12 @@
             return false;
         }
         names.push_back(item.name);
+        const std::string weight_path = path + ".weights.";
         for (const auto& [domain, weight] : item.weights)
         {
             if (!contains(value.failure_domains, domain))
             {
-                refuse(
-                    reason, path + (".weights." + domain),
-                    "not a failure domain");
+                refuse(reason, weight_path + domain, "not a failure domain");
                 return false;
             }
         }
--- a/src/core/request_filters.cpp
+++ b/src/core/request_filters.cpp
@@ -18,32 +18,50 @@
     {
     }
 
-    /// Deals with a request that only the given companion life could run;
-    /// false if that companion has not retired.
-    bool handle(
-        const request_context& request, instance_id companion, incarnation life)
+    /// Deals with a request under an Echo value of another companion; false
+    /// if that companion has not retired.
+    bool handle_echo(const request_context& request, const echo_claim& claim)
     {
-        const auto known = this->retirement.find(companion, life, request.key);
+        const auto known =
+            this->retirement.find(claim.companion, claim.life, request.key);
         if (!known.is_retired)
         {
             return false;
         }
-        if (known.record == nullptr)
+        if (known.record != nullptr)
+        {
+            this->handle_record(request, *known.record);
+        }
+        else if (claim.issued < known.complete_since)
+        {
+            this->actions.answer_unknown(
+                request, result_code::unknown_record_expired);
+        }
+        else
         {
             this->actions.require_echo(request);
-            return true;
         }
-        this->handle_record(request, *known.record);
         return true;
     }
 
-    /// Passes a request on again to the companion that got it before.
+    /// Passes a request on again to the companion that got it before. This
+    /// companion's own record of it is as young as any record there.
     void pass_again(const request_context& request, instance_life target)
     {
-        if (!this->handle(request, target.id, target.life))
+        const auto known =
+            this->retirement.find(target.id, target.life, request.key);
+        if (!known.is_retired)
         {
             this->actions.transfer_again(request, target);
         }
+        else if (known.record != nullptr)
+        {
+            this->handle_record(request, *known.record);
+        }
+        else
+        {
+            this->actions.require_echo(request);
+        }
     }
 
 private:
@@ -51,13 +69,20 @@
     handle_record(const request_context& request, const retired_request& record)
     {
         const auto answer = this->context.codec.decode(record.answer);
-        if (record.transferred_to.id != instance_id{})
+        const bool passed_on = record.transferred_to.id != instance_id{};
+        const bool reachable =
+            passed_on && !this->retirement
+                              .find(
+                                  record.transferred_to.id,
+                                  record.transferred_to.life, request.key)
+                              .is_retired;
+        if (answer)
         {
-            this->pass_again(request, record.transferred_to);
+            this->actions.repeat_answer(request, *answer);
         }
-        else if (answer)
+        else if (reachable)
         {
-            this->actions.repeat_answer(request, *answer);
+            this->actions.transfer_again(request, record.transferred_to);
         }
         else
         {
@@ -159,7 +184,7 @@
     /// The Echo value names another companion.
     void handle_foreign(const request_context& request, const echo_claim& claim)
     {
-        if (!this->retired.handle(request, claim.companion, claim.life))
+        if (!this->retired.handle_echo(request, claim))
         {
             this->actions.send_to_bound(request, claim);
         }
--- a/src/core/retirement_controller.cpp
+++ b/src/core/retirement_controller.cpp
@@ -21,7 +21,7 @@
 {
     this->started = true;
     this->give_up_at = now + give_up_after;
-    this->messages = this->make_messages(records);
+    this->messages = this->make_messages(now, records);
     for (const auto& sibling : this->context.heartbeats.siblings())
     {
         for (std::size_t part = 0; part < this->messages.size(); ++part)
@@ -54,6 +54,7 @@
         item = {};
         item.life = header.life;
         item.parts = message.parts;
+        item.retired_at = message.retired_at;
     }
     item.expires = now + this->context.settings.record_window;
     item.received.insert(message.part);
@@ -97,11 +98,15 @@
     }
     const auto& requests = found->second.requests;
     const auto record = requests.find(make_digest(key));
-    return {true, record == requests.end() ? nullptr : &record->second};
+    const time_point complete_since =
+        found->second.retired_at - this->context.settings.record_window;
+    return {
+        true, record == requests.end() ? nullptr : &record->second,
+        complete_since};
 }
 
-std::vector<retirement_message>
-retirement_controller::make_messages(const execution_records& records) const
+std::vector<retirement_message> retirement_controller::make_messages(
+    time_point now, const execution_records& records) const
 {
     std::vector<retirement_message> result(1);
     for (const auto& [key, record] : records.all())
@@ -122,6 +127,7 @@
     for (std::size_t part = 0; part < result.size(); ++part)
     {
         result[part].part = static_cast<std::uint16_t>(part);
+        result[part].retired_at = now;
         result[part].parts = static_cast<std::uint16_t>(result.size());
     }
     return result;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -21,7 +21,7 @@
 {
 
 constexpr unsigned http_version = 11;
-constexpr std::size_t max_body = 8 * 1024 * 1024;
+constexpr std::size_t max_body = std::size_t{8} * 1024 * 1024;
 constexpr std::chrono::seconds server_idle_limit{60};
 
 tcp::endpoint to_tcp(const endpoint& value)
--- a/src/platform/change_log.cpp
+++ b/src/platform/change_log.cpp
@@ -75,6 +75,15 @@
     return result;
 }
 
+std::string make_subject(const std::string& kind, const std::string& name)
+{
+    std::string result = kind;
+    result += ' ';
+    result += name;
+    result += ": ";
+    return result;
+}
+
 void compare_maps(
     std::vector<std::string>& lines,
     const std::string& kind,
@@ -83,22 +92,22 @@
 {
     for (const auto& [name, text] : before)
     {
+        const std::string subject = make_subject(kind, name);
         const auto found = after.find(name);
         if (found == after.end())
         {
-            lines.push_back(kind + " " + name + ": removed");
+            lines.push_back(subject + "removed");
         }
         else if (found->second != text)
         {
-            lines.push_back(
-                kind + " " + name + ": " + text + " -> " + found->second);
+            lines.push_back(subject + text + " -> " + found->second);
         }
     }
     for (const auto& [name, text] : after)
     {
         if (!before.contains(name))
         {
-            lines.push_back(kind + " " + name + ": added " + text);
+            lines.push_back(make_subject(kind, name) + "added " + text);
         }
     }
 }
--- a/src/wire/message_archive.hpp
+++ b/src/wire/message_archive.hpp
@@ -362,6 +362,7 @@
 {
     archive.plain(message.part);
     archive.plain(message.parts);
+    time_field(archive, message.retired_at);
     list_field(
         archive, message.requests, max_list,
         [](Archive& target, auto& item)
--- a/src/wire/message_codec_test.cpp
+++ b/src/wire/message_codec_test.cpp
@@ -102,7 +102,8 @@
         config_request{},
         config_push{"{}"},
         watch_handoff{},
-        watch_handoff_ack{9}, retirement_message{0, 1, {{{1, 2}, {{3}, {4}}, {5}}}},
+        watch_handoff_ack{9},
+        retirement_message{0, 1, {}, {{{1, 2}, {{3}, {4}}, {5}}}},
         retirement_ack{0}};
     static_assert(std::size(messages) == std::variant_size_v<internal_message>);
     for (const auto& message : messages)
--- a/standins/caller_session.cpp
+++ b/standins/caller_session.cpp
@@ -97,10 +97,10 @@
     state->started = steady::now();
     state->content = id + "\n";
     state->content.resize(std::size_t{blocks} * (16U << block_exponent), '#');
-    this->send_block(std::move(state));
+    this->send_block(state);
 }
 
-void caller_session::send_block(std::shared_ptr<upload_state> state)
+void caller_session::send_block(const std::shared_ptr<upload_state>& state)
 {
     coap_message request = this->make_request(coap_code::post, "upload");
     const block_value block{
@@ -115,7 +115,8 @@
         std::move(request),
         [this, state](const coap_message* answer)
         {
-            if (answer != nullptr && answer->code == coap_code::continue_transfer)
+            if (answer != nullptr &&
+                answer->code == coap_code::continue_transfer)
             {
                 ++state->next;
                 this->send_block(state);
@@ -132,10 +133,10 @@
     state->id = id;
     state->handler = std::move(handler);
     state->started = steady::now();
-    this->read_block(std::move(state));
+    this->read_block(state);
 }
 
-void caller_session::read_block(std::shared_ptr<document_state> state)
+void caller_session::read_block(const std::shared_ptr<document_state>& state)
 {
     coap_message request = this->make_request(coap_code::get, "document");
     request.add_text(coap_option_number::uri_query, state->id);
--- a/standins/caller_session.hpp
+++ b/standins/caller_session.hpp
@@ -134,8 +134,8 @@
     void acknowledge(const coap_message& message);
     void register_watch();
     void check_watch();
-    void send_block(std::shared_ptr<upload_state> state);
-    void read_block(std::shared_ptr<document_state> state);
+    void send_block(const std::shared_ptr<upload_state>& state);
+    void read_block(const std::shared_ptr<document_state>& state);
     void spray(const bytes& datagram);
     static outcome judge(const coap_message* answer);
     static request_result
--- a/standins/upstream.cpp
+++ b/standins/upstream.cpp
@@ -392,8 +392,8 @@
         state.content += to_text(request.payload);
         ++state.next_block;
         coap_message response = this->make_response_to(
-            request, block.more ? coap_code::continue_transfer : coap_code::changed,
-            "");
+            request,
+            block.more ? coap_code::continue_transfer : coap_code::changed, "");
         response.set_uint(coap_option_number::block1, encode_block(block));
         if (!block.more)
         {
--- a/tests/at_most_once_test.cpp
+++ b/tests/at_most_once_test.cpp
@@ -183,4 +183,49 @@
     BOOST_TEST(fleet.violations().empty());
 }
 
+// Found by the Spin model (ownership, NO_RETIRED_AGE): a companion whose record
+// of a request had expired retired, and its sibling took the absence of the
+// record for "not run".
+BOOST_AUTO_TEST_CASE(expired_records_of_a_retired_companion_prove_nothing)
+{
+    virtual_options options;
+    options.companions = 2;
+    options.callers = 1;
+    options.adjust = [](companion_settings& settings)
+    {
+        settings.echo_fresh = 2s;
+        settings.request_deadline = 1s;
+        settings.record_window = 4s;
+    };
+    virtual_fleet fleet(options);
+    fleet.run_for(3s);
+    fleet.post(0);
+    fleet.run_for(1s);
+    coap_message repeat;
+    repeat.code = coap_code::post;
+    repeat.token = {9, 9, 9, 9};
+    repeat.add_text(coap_option_number::uri_path, "signup");
+    repeat.set(coap_option_number::request_tag, {'0'});
+    repeat.set(coap_option_number::echo, fleet.echo_of(0));
+    repeat.payload = {'0'};
+    fleet.post(0);
+    const std::size_t owner = fleet.companion(0)->status().records > 0 ? 0 : 1;
+    fleet.run_for(8s);
+    BOOST_TEST(fleet.companion(owner)->status().records == 0U);
+    fleet.drain_companion(owner);
+    fleet.run_for(3s);
+    fleet.kill_companion(owner);
+
+    std::vector<coap_code> answers;
+    fleet.on_delivery = [&](std::size_t, const coap_message& message)
+    {
+        answers.push_back(message.code);
+    };
+    fleet.inject(0, 0, libcoap_codec().encode(repeat));
+    fleet.run_for(5s);
+
+    BOOST_REQUIRE(!answers.empty());
+    BOOST_TEST((answers.front() == coap_code::gateway_timeout));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
