--- a/include/masticslip/core/entry_core.hpp
+++ b/include/masticslip/core/entry_core.hpp
@@ -22,6 +22,7 @@
 
 #include <chrono>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace masticslip
@@ -146,6 +147,13 @@
         std::vector<weighted_instance> others;
     };
 
+    /// What the packet path needs to know of one companion.
+    struct companion_route
+    {
+        bool usable = false;
+        domain_evidence* evidence = nullptr;
+    };
+
     struct pending_packet
     {
         forward_message message;
@@ -158,6 +166,8 @@
     bool is_usable_owner(instance_id owner);
     bool is_withdrawn(const member_record& record) const;
     const service_view& view_of(service_id service);
+    /// Rebuilds the routes if the members or the configuration changed.
+    void refresh_routes();
     candidate_list candidates_for(const flow_key& flow);
     void
     send_look_up(time_point now, forward_message& message, byte_view payload);
@@ -180,6 +190,10 @@
     detail::freeze_guard freeze;
     flow_cache owners;
     std::unordered_map<service_id, service_view> views;
+    std::unordered_map<instance_id, companion_route> routes;
+    std::unordered_set<service_id> known_services;
+    std::uint64_t routes_revision = 0;
+    generation routes_generation = 0;
     std::map<std::uint32_t, pending_packet> pending;
     std::map<std::string, domain_evidence> domain_packets;
     std::uint32_t next_sequence = 1;
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -63,8 +63,8 @@
         this->drop(now, flow, result_code::dropped_stale);
         return;
     }
-    if (!this->configs.current() ||
-        this->configs.current()->find_service(flow.service) == nullptr)
+    this->refresh_routes();
+    if (!this->known_services.contains(flow.service))
     {
         this->drop(now, flow, result_code::not_run_no_configuration);
         return;
@@ -191,10 +191,38 @@
 
 bool entry_core::is_usable_owner(instance_id owner)
 {
-    const member_record* record = this->members().find(owner);
-    return record != nullptr && record->state != member_state::left &&
-           record->state != member_state::suspect &&
-           !this->is_withdrawn(*record);
+    this->refresh_routes();
+    const auto found = this->routes.find(owner);
+    return found != this->routes.end() && found->second.usable;
+}
+
+void entry_core::refresh_routes()
+{
+    const bool current = this->routes_revision == this->members().revision() &&
+                         this->routes_generation == this->configs.number();
+    if (current)
+    {
+        return;
+    }
+    this->routes_revision = this->members().revision();
+    this->routes_generation = this->configs.number();
+    this->routes.clear();
+    for (const auto& [id, record] : this->members().all())
+    {
+        const bool present = record.state == member_state::serving ||
+                             record.state == member_state::draining;
+        companion_route& route = this->routes[id];
+        route.usable = present && !this->is_withdrawn(record);
+        route.evidence = &this->domain_packets[record.failure_domain];
+    }
+    this->known_services.clear();
+    if (this->configs.current())
+    {
+        for (const auto& service : this->configs.current()->services)
+        {
+            this->known_services.insert(make_service_id(service.name));
+        }
+    }
 }
 
 bool entry_core::is_withdrawn(const member_record& record) const
@@ -281,12 +309,11 @@
     time_point now, instance_id to, const forward_message& message)
 {
     this->output.send(to, message);
-    const member_record* record = this->members().find(to);
-    if (record != nullptr)
+    const auto route = this->routes.find(to);
+    if (route != this->routes.end())
     {
-        domain_evidence& seen = this->domain_packets[record->failure_domain];
-        seen.last_packet = now;
-        ++seen.packets;
+        route->second.evidence->last_packet = now;
+        ++route->second.evidence->packets;
     }
     core_event event;
     event.kind = event_kind::packet_forwarded;
