--- a/include/masticslip/core/detail/heartbeat_controller.hpp
+++ b/include/masticslip/core/detail/heartbeat_controller.hpp
@@ -19,6 +19,13 @@
 std::vector<instance_id>
 choose_watchers(instance_id watched, const std::vector<instance_id>& entries);
 
+/// True if `watcher` is among the watchers of `watched`. Unlike choosing them
+/// all it stops at the third better entry.
+bool is_watcher(
+    instance_id watcher,
+    instance_id watched,
+    const std::vector<instance_id>& entries);
+
 /// Not thread-safe.
 class heartbeat_controller
 {
--- a/include/masticslip/core/detail/membership_controller.hpp
+++ b/include/masticslip/core/detail/membership_controller.hpp
@@ -25,6 +25,9 @@
     time_point suspected;
     /// Configuration generation that the instance has in force.
     generation in_force = 0;
+    /// Set of entries for which `is_watched_here` was found.
+    std::uint64_t duty_revision = 0;
+    bool is_watched_here = false;
 };
 
 /// Not thread-safe.
@@ -105,6 +108,9 @@
     void send_gossip();
     void send_digest();
     void judge_silence(time_point now);
+    /// True if this node is to judge the instance; remembered until the set
+    /// of entries changes.
+    bool has_duty(instance_id watched, observation& seen) const;
     void judge(time_point now, const member_record& record);
     void change_state(
         time_point now, const member_record& record, member_state state);
--- a/include/masticslip/core/entry_core.hpp
+++ b/include/masticslip/core/entry_core.hpp
@@ -179,7 +179,7 @@
         const message_header& header,
         const reply_message& message);
     void drop(time_point now, const flow_key& flow, result_code code);
-    void on_configuration_changed(time_point now);
+    void on_configuration_changed();
 
     entry_settings settings;
     entry_output& output;
--- a/include/masticslip/core/member_table.hpp
+++ b/include/masticslip/core/member_table.hpp
@@ -84,6 +84,12 @@
         return this->change_count;
     }
 
+    /// Raised by one with each change of the set of entries.
+    [[nodiscard]] std::uint64_t entries_revision() const
+    {
+        return this->entry_change_count;
+    }
+
     /// Forgets a record. Call only for instances that left long ago.
     void erase(instance_id id);
 
@@ -96,6 +102,7 @@
     std::vector<instance_id> entry_ids;
     std::vector<instance_id> no_ids;
     std::uint64_t change_count = 0;
+    std::uint64_t entry_change_count = 0;
 };
 
 } // namespace masticslip
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -48,8 +48,8 @@
     this->membership.announce_self({}, this->heartbeats.self());
     this->membership.set_usable_filter([this](const member_record& record)
                                        { return !this->is_withdrawn(record); });
-    this->configs.set_changed_handler([this](time_point now)
-                                      { this->on_configuration_changed(now); });
+    this->configs.set_changed_handler([this](time_point)
+                                      { this->on_configuration_changed(); });
 }
 
 void entry_core::on_caller_packet(
@@ -381,25 +381,22 @@
     this->events.on_event(now, event);
 }
 
-void entry_core::on_configuration_changed(time_point now)
+void entry_core::on_configuration_changed()
 {
     this->output.on_configuration(*this->configs.current());
     this->membership.nudge_peers();
     for (const auto& [id, record] : this->members().all())
     {
-        const auto watchers =
-            record.role == member_role::companion
-                ? detail::choose_watchers(id, this->members().entries())
-                : std::vector<instance_id>{};
         const bool mine =
-            std::find(watchers.begin(), watchers.end(), this->settings.self) !=
-            watchers.end();
-        if (mine && record.state != member_state::left)
+            record.role == member_role::companion &&
+            record.state != member_state::left &&
+            detail::is_watcher(
+                this->settings.self, id, this->members().entries());
+        if (mine)
         {
             this->output.send(id, gossip_message{});
         }
     }
-    static_cast<void>(now);
 }
 
 } // namespace masticslip
--- a/src/core/heartbeat_controller.cpp
+++ b/src/core/heartbeat_controller.cpp
@@ -36,6 +36,29 @@
     return rank_candidates(key, members, watcher_count);
 }
 
+bool is_watcher(
+    instance_id watcher,
+    instance_id watched,
+    const std::vector<instance_id>& entries)
+{
+    const auto key = hash_pair(watched.value, watcher_hash_seed);
+    const double own = rendezvous_score(key, {watcher, 1});
+    std::size_t better = 0;
+    for (const instance_id id : entries)
+    {
+        const bool other = id != watched && id != watcher;
+        if (other && rendezvous_score(key, {id, 1}) > own)
+        {
+            ++better;
+        }
+        if (better == watcher_count)
+        {
+            return false;
+        }
+    }
+    return watcher != watched;
+}
+
 heartbeat_controller::heartbeat_controller(
     internal_output& output, member_record self, std::vector<instance_id> seeds)
     : output(output), record(std::move(self)), seeds(std::move(seeds))
--- a/src/core/member_table.cpp
+++ b/src/core/member_table.cpp
@@ -90,6 +90,7 @@
 
 void member_table::index_add(const member_record& record)
 {
+    this->entry_change_count += record.role == member_role::entry ? 1 : 0;
     if (record.state == member_state::left)
     {
         return;
@@ -104,7 +105,12 @@
 
 void member_table::index_remove(const member_record& record)
 {
-    std::erase(this->entry_ids, record.id);
+    if (record.role == member_role::entry)
+    {
+        ++this->entry_change_count;
+        std::erase(this->entry_ids, record.id);
+        return;
+    }
     const auto found = this->by_service.find(record.service);
     if (found != this->by_service.end())
     {
--- a/src/core/membership_controller.cpp
+++ b/src/core/membership_controller.cpp
@@ -16,7 +16,7 @@
 
 constexpr duration gossip_interval = 200ms;
 constexpr duration digest_interval = 2s;
-constexpr duration judgement_interval = 100ms;
+constexpr duration judgement_interval = 500ms;
 constexpr duration suspect_after = 1500ms;
 constexpr duration remove_after = 3s;
 constexpr duration forget_after = 10min;
@@ -262,12 +262,22 @@
 void membership_controller::judge_silence(time_point now)
 {
     std::vector<member_record> silent;
-    for (const auto& [id, seen] : this->observations)
+    for (auto& [id, seen] : this->observations)
     {
+        const bool silent_here =
+            now - seen.last_heard > suspect_after && id != this->self;
+        if (!silent_here)
+        {
+            continue;
+        }
+        if (!this->has_duty(id, seen))
+        {
+            // Another entry judges; the clock starts over if the duty moves.
+            seen.last_heard = now;
+            continue;
+        }
         const member_record* record = this->members.find(id);
-        const bool present = record != nullptr && id != this->self &&
-                             record->state != member_state::left;
-        if (present && now - seen.last_heard > suspect_after)
+        if (record != nullptr && record->state != member_state::left)
         {
             silent.push_back(*record);
         }
@@ -278,18 +288,22 @@
     }
 }
 
-void membership_controller::judge(time_point now, const member_record& record)
+bool membership_controller::has_duty(
+    instance_id watched, observation& seen) const
 {
-    const auto watchers = choose_watchers(record.id, this->members.entries());
-    const bool mine = std::find(watchers.begin(), watchers.end(), this->self) !=
-                      watchers.end();
-    auto& seen = this->observations[record.id];
-    if (!mine)
+    const std::uint64_t revision = this->members.entries_revision();
+    if (seen.duty_revision != revision)
     {
-        // Another entry judges; the clock starts over if the duty moves here.
-        seen.last_heard = now;
-        return;
+        seen.duty_revision = revision;
+        seen.is_watched_here =
+            is_watcher(this->self, watched, this->members.entries());
     }
+    return seen.is_watched_here;
+}
+
+void membership_controller::judge(time_point now, const member_record& record)
+{
+    auto& seen = this->observations[record.id];
     if (record.state != member_state::suspect)
     {
         seen.suspected = now;
--- a/src/core/policies_test.cpp
+++ b/src/core/policies_test.cpp
@@ -1,6 +1,7 @@
 // Small policies: ranking, choice, limits, retry budget, caches, records.
 
 #include "masticslip/core/admission_limit.hpp"
+#include "masticslip/core/detail/heartbeat_controller.hpp"
 #include "masticslip/core/echo_token.hpp"
 #include "masticslip/core/execution_records.hpp"
 #include "masticslip/core/flow_cache.hpp"
@@ -89,6 +90,27 @@
     BOOST_TEST(moved < flows / 8 * 11 / 10);
 }
 
+BOOST_AUTO_TEST_CASE(is_watcher_agrees_with_the_chosen_watchers)
+{
+    std::vector<instance_id> entries;
+    for (std::uint64_t i = 1; i <= 50; ++i)
+    {
+        entries.push_back({i});
+    }
+    for (std::uint64_t watched = 40; watched < 80; ++watched)
+    {
+        const auto chosen = detail::choose_watchers({watched}, entries);
+        for (const instance_id id : entries)
+        {
+            const bool listed =
+                std::find(chosen.begin(), chosen.end(), id) != chosen.end();
+            BOOST_TEST(
+                detail::is_watcher(id, {watched}, entries) == listed,
+                "watcher " << id.value << " of " << watched);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(share_follows_the_weight)
 {
     const std::vector<weighted_instance> members{{{1}, 1}, {{2}, 3}, {{3}, 0}};
--- /dev/null
+++ b/tests/support/load_phase.hpp
@@ -0,0 +1,123 @@
+#pragma once
+/// Offers requests to a virtual fleet at a share of what its upstreams can
+/// bear, and measures goodput, refusals, latency and imbalance.
+
+#include "support/virtual_fleet.hpp"
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+namespace masticslip::testing
+{
+
+constexpr std::size_t load_companions = 6;
+constexpr std::size_t load_callers = 300;
+constexpr std::uint32_t load_slots = 5;
+constexpr duration load_service_time = std::chrono::milliseconds(20);
+/// Requests a second that all upstreams can bear: the fake upstream starts
+/// work at ticks, so that one request takes one tick more.
+constexpr double load_capacity = double(load_companions * load_slots) / 0.03;
+
+struct phase_result
+{
+    double goodput = 0;
+    double refused = 0;
+    double p99_ms = 0;
+    double imbalance = 0;
+};
+
+inline virtual_options
+make_load_options(limit_policy policy, std::uint32_t width)
+{
+    virtual_options options;
+    options.entries = 3;
+    options.companions = load_companions;
+    options.callers = load_callers;
+    options.seed = 42;
+    options.service_time = load_service_time;
+    options.upstream_slots = load_slots;
+    options.upstream_cold_time = std::chrono::seconds(2);
+    options.policy = policy;
+    options.choice_width = width;
+    return options;
+}
+
+/// Offers requests at a share of the capacity for a while.
+class load_phase
+{
+public:
+    load_phase(virtual_fleet& fleet, std::mt19937& random)
+        : fleet(fleet), random(random)
+    {
+    }
+
+    phase_result run(double share, duration span)
+    {
+        const std::size_t first = this->fleet.requests().size();
+        std::vector<double> busy;
+        for (std::size_t i = 0; i < load_companions; ++i)
+        {
+            busy.push_back(this->fleet.upstream(i).busy_time);
+        }
+        const duration gap(
+            static_cast<std::int64_t>(1e6 / (share * load_capacity)));
+        for (duration passed{}; passed < span; passed += gap)
+        {
+            this->fleet.get(this->random() % load_callers);
+            this->fleet.run_for(gap);
+        }
+        return this->summarize(first, busy, span);
+    }
+
+private:
+    phase_result
+    summarize(std::size_t first, const std::vector<double>& busy, duration span)
+    {
+        phase_result result;
+        std::vector<double> latencies;
+        const auto& requests = this->fleet.requests();
+        const std::size_t offered = requests.size() - first;
+        for (std::size_t i = first; i < requests.size(); ++i)
+        {
+            result.refused += requests[i].end == request_end::not_run ? 1 : 0;
+            if (requests[i].end == request_end::done)
+            {
+                const duration taken = requests[i].ended - requests[i].started;
+                latencies.push_back(double(taken.count()) / 1000);
+            }
+        }
+        std::sort(latencies.begin(), latencies.end());
+        const double seconds = double(span.count()) / 1e6;
+        result.goodput = double(latencies.size()) / seconds / load_capacity;
+        result.refused /= double(offered);
+        result.p99_ms =
+            latencies.empty() ? 0 : latencies[latencies.size() * 99 / 100];
+        double most = 0;
+        double sum = 0;
+        for (std::size_t i = 0; i < load_companions; ++i)
+        {
+            const double used = this->fleet.upstream(i).busy_time - busy[i];
+            most = std::max(most, used);
+            sum += used;
+        }
+        result.imbalance = most / (sum / load_companions);
+        return result;
+    }
+
+    virtual_fleet& fleet;
+    std::mt19937& random;
+};
+
+/// Times that upstreams collapsed because they were overdriven while cold.
+inline std::uint32_t count_collapses(virtual_fleet& fleet)
+{
+    std::uint32_t result = 0;
+    for (std::size_t i = 0; i < load_companions; ++i)
+    {
+        result += fleet.upstream(i).collapses;
+    }
+    return result;
+}
+
+} // namespace masticslip::testing
