Keep an upstream from taking packets before its companion has admitted it

Ruled out: packets after the announcement (the companion sends none), and detection by refused sends (nothing is refused once the address is bound).

Change: announcements are confirmable and part of the contract: an upstream drops what arrives before the first 2.04; a companion of another service answers 4.03. Datagrams on one instance keep their order, so what was meant for the former upstream arrives before the 2.04.

The test is unchanged.

--- a/include/masticslip/core/coap_message.hpp
+++ b/include/masticslip/core/coap_message.hpp
@@ -44,6 +44,7 @@
     continue_transfer = 95,
     bad_request = 128,
     unauthorized = 129,
+    forbidden = 131,
     not_found = 132,
     incomplete = 136,
     too_large = 141,
--- a/include/masticslip/core/companion_core.hpp
+++ b/include/masticslip/core/companion_core.hpp
@@ -58,8 +58,9 @@
         const message_header& header,
         const internal_message& message);
 
-    /// Takes what the upstream says of itself.
-    void
+    /// Takes what the upstream says of itself. False if it belongs to another
+    /// service; it must then not be acknowledged, and gets no packets.
+    bool
     on_announcement(time_point now, const upstream_announcement& announcement);
 
     /// Takes a CoAP datagram of the upstream.
--- a/src/core/companion_core.cpp
+++ b/src/core/companion_core.cpp
@@ -119,7 +119,7 @@
     this->release_held(now);
 }
 
-void companion_core::on_announcement(
+bool companion_core::on_announcement(
     time_point now, const upstream_announcement& announcement)
 {
     this->may_act(now);
@@ -131,7 +131,7 @@
         this->context.report(
             now, event_kind::packet_dropped, {},
             result_code::dropped_wrong_service);
-        return;
+        return false;
     }
     const bool restarted = announcement.epoch != this->context.upstream.epoch;
     const bool was_present = this->context.upstream_present;
@@ -151,6 +151,7 @@
         this->context.events.on_event(now, event);
     }
     this->update_state(now);
+    return true;
 }
 
 void companion_core::on_upstream_datagram(time_point now, byte_view datagram)
--- a/src/daemon/companion_process.cpp
+++ b/src/daemon/companion_process.cpp
@@ -247,12 +247,13 @@
     {
         return false;
     }
-    this->core.on_announcement(monotonic_now(), *announcement);
+    const bool accepted =
+        this->core.on_announcement(monotonic_now(), *announcement);
     if (message.type == coap_type::confirmable)
     {
         coap_message answer;
         answer.type = coap_type::acknowledgement;
-        answer.code = coap_code::changed;
+        answer.code = accepted ? coap_code::changed : coap_code::forbidden;
         answer.message_id = message.message_id;
         answer.token = message.token;
         this->upstream.send(from, this->coap.encode(answer));
--- a/standins/upstream.cpp
+++ b/standins/upstream.cpp
@@ -150,6 +150,7 @@
             {"peak_in_flight", this->peak},
             {"peak_in_flight_cold", this->peak_cold},
             {"packets", this->packets},
+            {"early_packets", this->early_packets},
             {"last_packet_ms_ago", this->last_packet_age()},
             {"watches", this->observers.size()}});
     }
@@ -172,6 +173,7 @@
             std::chrono::system_clock::now().time_since_epoch() / 1us);
         this->cold_until = steady::now() + this->options.cold_time;
         this->overdriven_since.reset();
+        this->admitted = false;
         this->works.clear();
         this->observers.clear();
         this->uploads.clear();
@@ -204,9 +206,21 @@
         {
             return;
         }
+        const auto request = this->codec.decode(datagram);
+        if (request && request->type == coap_type::acknowledgement)
+        {
+            this->admitted = request->code == coap_code::changed;
+            return;
+        }
+        if (!this->admitted)
+        {
+            // Whatever comes before the companion has acknowledged the
+            // announcement was meant for a former upstream at this address.
+            ++this->early_packets;
+            return;
+        }
         ++this->packets;
         this->last_packet = steady::now();
-        const auto request = this->codec.decode(datagram);
         if (!request)
         {
             return;
@@ -466,7 +480,7 @@
         if (steady::now() >= this->down_until)
         {
             coap_message message;
-            message.type = coap_type::non_confirmable;
+            message.type = coap_type::confirmable;
             message.code = coap_code::post;
             message.message_id = this->next_message_id++;
             message.add_text(coap_option_number::uri_path, "masticslip");
@@ -537,7 +551,9 @@
     std::uint64_t shed_count = 0;
     std::uint64_t packets = 0;
     std::uint16_t next_message_id = 1;
+    std::uint64_t early_packets = 0;
     bool draining = false;
+    bool admitted = false;
 };
 
 std::chrono::milliseconds
