--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -4,6 +4,7 @@
 
 #include "masticslip/core/entry_core.hpp"
 #include "masticslip/wire/message_codec.hpp"
+#include "support/silent_outputs.hpp"
 
 #include <chrono>
 #include <iostream>
@@ -15,18 +16,11 @@
 {
 
 using namespace masticslip;
+using namespace masticslip::testing;
 using namespace std::chrono_literals;
 using steady = std::chrono::steady_clock;
 
-class null_sink final : public event_sink
-{
-public:
-    void on_event(time_point, const core_event&) override
-    {
-    }
-};
-
-class counting_output final : public entry_output
+class counting_output final : public silent_entry_output
 {
 public:
     void send(instance_id to, const internal_message& message) override
@@ -34,17 +28,6 @@
         this->bytes += this->codec.encode(to, 1, message).size();
         ++this->messages;
     }
-    void send_to_caller(const flow_key&, byte_view) override
-    {
-    }
-    void refuse_caller(
-        const flow_key&, byte_view, result_code, std::chrono::seconds) override
-    {
-    }
-    void on_configuration(const configuration&) override
-    {
-    }
-
     message_codec codec{{{1}, {1}}, {shared_key{1}}};
     std::uint64_t bytes = 0;
     std::uint64_t messages = 0;
@@ -83,7 +66,7 @@
 
 void measure(const fleet_size& size)
 {
-    null_sink sink;
+    silent_sink sink;
     counting_output output;
     entry_settings settings;
     settings.self = {endpoint{0x09000001, 7000}.packed()};
--- a/bench/core_benchmark.cpp
+++ b/bench/core_benchmark.cpp
@@ -4,6 +4,7 @@
 #include "libcoap_codec.hpp"
 #include "masticslip/core/entry_core.hpp"
 #include "masticslip/wire/message_codec.hpp"
+#include "support/silent_outputs.hpp"
 
 #include <benchmark/benchmark.h>
 
@@ -11,39 +12,18 @@
 {
 
 using namespace masticslip;
+using namespace masticslip::testing;
 using namespace std::chrono_literals;
 
 constexpr std::uint32_t flow_count = 400'000;
-constexpr const char* document =
-    R"({"schema":1,"generation":1,"services":[{"name":"meetups",)"
-    R"("address":"127.0.0.1:5683"}],"failure_domains":["a"],)"
-    R"("presets":[{"name":"p"}],"preset_in_force":"p"})";
-
-class null_sink final : public event_sink
-{
-public:
-    void on_event(time_point, const core_event&) override
-    {
-    }
-};
-
-class null_output final : public entry_output
+/// Keeps the compiler from dropping the decision.
+class observed_output final : public silent_entry_output
 {
 public:
     void send(instance_id to, const internal_message&) override
     {
         benchmark::DoNotOptimize(to);
     }
-    void send_to_caller(const flow_key&, byte_view) override
-    {
-    }
-    void refuse_caller(
-        const flow_key&, byte_view, result_code, std::chrono::seconds) override
-    {
-    }
-    void on_configuration(const configuration&) override
-    {
-    }
 };
 
 flow_key make_flow(std::uint32_t number)
@@ -57,7 +37,7 @@
     loaded_entry() : core(make_settings(), output, sink)
     {
         failure_reason reason;
-        this->core.offer_configuration(this->now, document, reason);
+        this->core.offer_configuration(this->now, small_document, reason);
         member_record record;
         record.id = {99};
         record.life = {1};
@@ -83,8 +63,8 @@
     }
 
     time_point now{1s};
-    null_output output;
-    null_sink sink;
+    observed_output output;
+    silent_sink sink;
     entry_core core;
 };
 
--- a/fuzz/fuzz_targets.cpp
+++ b/fuzz/fuzz_targets.cpp
@@ -12,6 +12,7 @@
 #include "masticslip/core/entry_core.hpp"
 #include "masticslip/wire/message_codec.hpp"
 #include "platform/change_log.hpp"
+#include "support/silent_outputs.hpp"
 
 #include <cstdlib>
 #include <functional>
@@ -26,6 +27,7 @@
 {
 
 using namespace masticslip;
+using namespace masticslip::testing;
 using namespace std::chrono_literals;
 
 const shared_key key{1, 2, 3};
@@ -108,49 +110,6 @@
     std::mt19937_64 random;
 };
 
-class silent_sink final : public event_sink
-{
-public:
-    void on_event(time_point, const core_event&) override
-    {
-    }
-};
-
-class silent_entry_output final : public entry_output
-{
-public:
-    void send(instance_id, const internal_message&) override
-    {
-    }
-    void send_to_caller(const flow_key&, byte_view) override
-    {
-    }
-    void refuse_caller(
-        const flow_key&, byte_view, result_code, std::chrono::seconds) override
-    {
-    }
-    void on_configuration(const configuration&) override
-    {
-    }
-};
-
-class silent_companion_output final : public companion_output
-{
-public:
-    void send(instance_id, const internal_message&) override
-    {
-    }
-    void send_to_upstream(byte_view) override
-    {
-    }
-    void send_datagram_to_upstream(const flow_key&, byte_view) override
-    {
-    }
-    void close_datagram_flow(const flow_key&) override
-    {
-    }
-};
-
 std::vector<bytes> coap_samples()
 {
     const libcoap_codec codec;
--- a/include/masticslip/core/detail/request_controller.hpp
+++ b/include/masticslip/core/detail/request_controller.hpp
@@ -2,6 +2,7 @@
 /// Runs callers' requests at the upstream: at most once, below the limit,
 /// within the deadline, and with exactly one final answer each.
 
+#include "masticslip/core/detail/acknowledged_relay.hpp"
 #include "masticslip/core/detail/request_filters.hpp"
 #include "masticslip/core/detail/watch_controller.hpp"
 
@@ -102,16 +103,6 @@
         exchange_id watch = 0;
     };
 
-    /// A packet that another companion must acknowledge.
-    struct sent_packet
-    {
-        held_packet packet;
-        instance_id target;
-        forward_mode mode = forward_mode::bound;
-        std::uint32_t attempts = 0;
-        time_point repeat_at;
-    };
-
     using exchange_map = std::unordered_map<exchange_id, exchange>;
 
     void pass_after_retirement(time_point now, const forward_message& message);
@@ -147,28 +138,21 @@
         coap_code code,
         result_code result,
         bool record);
-    void send_acknowledged(
-        time_point now,
-        forward_message message,
-        instance_id target,
-        forward_mode mode);
     void cancel_at_upstream(exchange_id id);
     void start_queued(time_point now);
-    void repeat_unacknowledged(time_point now);
-    void give_up_unacknowledged(time_point now, const sent_packet& item);
+    void give_up_relayed(time_point now, const forward_message& message);
 
     companion_context& context;
     ownership_controller& ownership;
     watch_controller& watches;
     const retirement_controller& retirement;
+    acknowledged_relay relay;
     execution_records records;
     std::vector<std::unique_ptr<request_filter>> filters;
     exchange_map exchanges;
     std::unordered_map<request_key, exchange_id> by_token;
     std::deque<exchange> queued;
-    std::unordered_map<std::uint32_t, sent_packet> unacknowledged;
     exchange_id next_exchange = 1;
-    std::uint32_t next_sequence = 1;
     std::uint16_t next_upstream_message_id = 1;
 };
 
--- a/src/cli/change_commands.cpp
+++ b/src/cli/change_commands.cpp
@@ -46,9 +46,8 @@
 
 bool check_change_settings(const command_context& context)
 {
-    if (context.settings.store.empty())
+    if (!require_store(context))
     {
-        context.errors << "masticslip: --store (MASTICSLIP_STORE) is needed\n";
         return false;
     }
     if (context.settings.reason.empty())
@@ -274,9 +273,8 @@
 
 cli_exit settle_change(const command_context& context)
 {
-    if (context.settings.store.empty())
+    if (!require_store(context))
     {
-        context.errors << "masticslip: --store (MASTICSLIP_STORE) is needed\n";
         return cli_exit::usage;
     }
     const std::string& text = context.arguments[1];
--- a/src/cli/command_context.cpp
+++ b/src/cli/command_context.cpp
@@ -36,12 +36,22 @@
     return to_exit(reason.code);
 }
 
+bool require_store(const command_context& context)
+{
+    if (context.settings.store.empty())
+    {
+        context.errors << "masticslip: --store (MASTICSLIP_STORE) is needed
+                          ";
+            return false;
+    }
+    return true;
+}
+
 std::optional<stored_configuration>
 read_stored(const command_context& context, cli_exit& exit)
 {
-    if (context.settings.store.empty())
+    if (!require_store(context))
     {
-        context.errors << "masticslip: --store (MASTICSLIP_STORE) is needed\n";
         exit = cli_exit::usage;
         return std::nullopt;
     }
--- a/src/cli/command_context.hpp
+++ b/src/cli/command_context.hpp
@@ -51,6 +51,9 @@
     return result;
 }
 
+/// True if the settings name a store; else writes what is missing.
+bool require_store(const command_context& context);
+
 /// Reads the document from the store; reports failures.
 std::optional<stored_configuration>
 read_stored(const command_context& context, cli_exit& exit);
--- a/src/cli/report_commands.cpp
+++ b/src/cli/report_commands.cpp
@@ -137,9 +137,8 @@
 std::optional<std::vector<std::string>>
 read_audit_texts(const command_context& context, cli_exit& exit)
 {
-    if (context.settings.store.empty())
+    if (!require_store(context))
     {
-        context.errors << "masticslip: --store (MASTICSLIP_STORE) is needed\n";
         exit = cli_exit::usage;
         return std::nullopt;
     }
--- a/src/core/request_controller.cpp
+++ b/src/core/request_controller.cpp
@@ -12,9 +12,6 @@
 using namespace std::chrono_literals;
 
 constexpr duration transfer_idle_limit = 60s;
-constexpr duration acknowledge_timeout = 100ms;
-constexpr std::uint32_t max_attempts = 3;
-constexpr std::size_t max_unacknowledged = 4096;
 constexpr std::size_t max_queued = 4096;
 
 /// Identity of a request while it is in progress: flow and token.
@@ -39,6 +36,10 @@
     const retirement_controller& retirement)
     : context(context), ownership(ownership), watches(watches),
       retirement(retirement),
+      relay(
+          ownership,
+          [this](time_point now, const forward_message& message)
+          { this->give_up_relayed(now, message); }),
       records(context.settings.record_capacity, context.settings.record_window),
       filters(make_request_filters(
           context, this->records, ownership, retirement, *this))
@@ -362,7 +363,7 @@
 
 void request_controller::on_message(const forward_ack& message)
 {
-    this->unacknowledged.erase(message.sequence);
+    this->relay.on_acknowledged(message.sequence);
 }
 
 void request_controller::on_upstream_restarted(time_point now)
@@ -413,7 +414,7 @@
         this->end_unknown(now, id, result_code::unknown_upstream_silent);
     }
     this->start_queued(now);
-    this->repeat_unacknowledged(now);
+    this->relay.on_tick(now);
     this->records.expire(now);
 }
 
@@ -494,27 +495,10 @@
 void request_controller::send_to_bound(
     const request_context& item, const echo_claim& claim)
 {
-    this->send_acknowledged(
+    this->relay.send(
         item.now, item.message, claim.companion, forward_mode::bound);
 }
 
-void request_controller::send_acknowledged(
-    time_point now,
-    forward_message message,
-    instance_id target,
-    forward_mode mode)
-{
-    if (this->unacknowledged.size() >= max_unacknowledged)
-    {
-        return;
-    }
-    message.sequence = this->next_sequence++;
-    sent_packet kept{
-        held_packet(message), target, mode, 1, now + acknowledge_timeout};
-    this->unacknowledged.emplace(message.sequence, std::move(kept));
-    this->ownership.relay(now, message, target, mode);
-}
-
 bool request_controller::transfer(const request_context& item)
 {
     const auto sibling =
@@ -641,36 +625,9 @@
     }
 }
 
-void request_controller::repeat_unacknowledged(time_point now)
-{
-    std::vector<std::uint32_t> given_up;
-    for (auto& [sequence, item] : this->unacknowledged)
-    {
-        if (now < item.repeat_at)
-        {
-            continue;
-        }
-        if (item.attempts >= max_attempts)
-        {
-            given_up.push_back(sequence);
-            continue;
-        }
-        ++item.attempts;
-        item.repeat_at = now + acknowledge_timeout;
-        this->ownership.relay(
-            now, item.packet.message(), item.target, item.mode);
-    }
-    for (const std::uint32_t sequence : given_up)
-    {
-        const auto node = this->unacknowledged.extract(sequence);
-        this->give_up_unacknowledged(now, node.mapped());
-    }
-}
-
-void request_controller::give_up_unacknowledged(
-    time_point now, const sent_packet& item)
+void request_controller::give_up_relayed(
+    time_point now, const forward_message& message)
 {
-    const forward_message message = item.packet.message();
     const auto request = this->context.codec.decode(message.payload);
     if (request)
     {
--- a/tests/bounds_test.cpp
+++ b/tests/bounds_test.cpp
@@ -6,6 +6,7 @@
 #include "masticslip/core/entry_core.hpp"
 #include "masticslip/core/flow_map.hpp"
 #include "masticslip/wire/message_codec.hpp"
+#include "support/silent_outputs.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -46,40 +47,17 @@
 {
 
 using namespace masticslip;
+using namespace masticslip::testing;
 using namespace std::chrono_literals;
 
-constexpr const char* document =
-    R"({"schema":1,"generation":1,"services":[{"name":"meetups",)"
-    R"("address":"127.0.0.1:5683"}],"failure_domains":["a"],)"
-    R"("presets":[{"name":"p"}],"preset_in_force":"p"})";
-
-class null_sink final : public event_sink
-{
-public:
-    void on_event(time_point, const core_event&) override
-    {
-    }
-};
-
 /// Encodes as the daemon does.
-class encoding_output final : public entry_output
+class encoding_output final : public silent_entry_output
 {
 public:
     void send(instance_id to, const internal_message& message) override
     {
         this->sent += this->codec.encode(to, 1, message).size();
     }
-    void send_to_caller(const flow_key&, byte_view) override
-    {
-    }
-    void refuse_caller(
-        const flow_key&, byte_view, result_code, std::chrono::seconds) override
-    {
-    }
-    void on_configuration(const configuration&) override
-    {
-    }
-
     message_codec codec{{{1}, {1}}, {shared_key{1}}};
     std::size_t sent = 0;
 };
@@ -95,7 +73,7 @@
 
 BOOST_AUTO_TEST_CASE(cached_packet_path_allocates_nothing)
 {
-    null_sink sink;
+    silent_sink sink;
     encoding_output output;
     entry_settings settings;
     settings.self = {1};
@@ -105,7 +83,7 @@
     entry_core core(settings, output, sink);
     const time_point now{1s};
     failure_reason reason;
-    core.offer_configuration(now, document, reason);
+    core.offer_configuration(now, small_document, reason);
     member_record record;
     record.id = {99};
     record.life = {1};
