--- a/src/cli/command_context.cpp
+++ b/src/cli/command_context.cpp
@@ -40,9 +40,8 @@
 {
     if (context.settings.store.empty())
     {
-        context.errors << "masticslip: --store (MASTICSLIP_STORE) is needed
-                          ";
-            return false;
+        context.errors << "masticslip: --store (MASTICSLIP_STORE) is needed\n";
+        return false;
     }
     return true;
 }
