Let entries that were cut from each other find together again

Cause: a new test cuts two pairs of entries for ten seconds. After the cut had healed, each pair kept the other as departed for good, and a withdrawal stayed on one side: departed entries were never asked again, and an entry ignored what others believed of it.

Ruled out: the order of records (larger incarnation and version win) and lost digests (links were without loss).

Change: with each digest an entry also probes one departed entry; gossip about oneself is refuted by a higher version; departures are remembered for two hours.

Conclusion: partitions heal under virtual time; with real processes unproved.

--- a/fuzz/fuzz_targets.cpp
+++ b/fuzz/fuzz_targets.cpp
@@ -4,7 +4,8 @@
 //
 //     fuzz_targets TARGET INPUTS SEED
 //
-// Targets: coap, wire, configuration, audit, entry, companion, all.
+// Targets: announcement, coap, wire, configuration, audit, entry, companion,
+// all.
 
 #include "libcoap_codec.hpp"
 #include "masticslip/core/companion_core.hpp"
@@ -251,6 +252,17 @@
         });
 }
 
+void fuzz_announcement(mutator& inputs, std::size_t count)
+{
+    fuzz_text(
+        inputs, count, R"({"service":"meetups","epoch":7,"draining":true})",
+        [](const std::string& text)
+        {
+            const bytes octets(text.begin(), text.end());
+            static_cast<void>(parse_announcement(octets));
+        });
+}
+
 /// Feeds a core with well-formed but senseless messages and packets.
 template <class Core, class Packet>
 void fuzz_core(mutator& inputs, std::size_t count, Core& core, Packet packet)
@@ -316,9 +328,13 @@
 const std::map<std::string, fuzz_target>& target_table()
 {
     static const std::map<std::string, fuzz_target> table{
-        {"audit", fuzz_audit},         {"coap", fuzz_coap},
-        {"companion", fuzz_companion}, {"configuration", fuzz_configuration},
-        {"entry", fuzz_entry},         {"wire", fuzz_wire}};
+        {"announcement", fuzz_announcement},
+        {"audit", fuzz_audit},
+        {"coap", fuzz_coap},
+        {"companion", fuzz_companion},
+        {"configuration", fuzz_configuration},
+        {"entry", fuzz_entry},
+        {"wire", fuzz_wire}};
     return table;
 }
 
--- a/include/masticslip/core/detail/companion_context.hpp
+++ b/include/masticslip/core/detail/companion_context.hpp
@@ -54,6 +54,10 @@
     bool draining = false;
 };
 
+/// Reads `{"service": ..., "epoch": ..., "draining": ...}`; nullopt if the text
+/// has another form. Thread-safe.
+std::optional<upstream_announcement> parse_announcement(byte_view payload);
+
 /// What a companion sends besides internal messages.
 class companion_output : public internal_output
 {
--- a/include/masticslip/core/detail/heartbeat_controller.hpp
+++ b/include/masticslip/core/detail/heartbeat_controller.hpp
@@ -49,6 +49,10 @@
         const message_header& header,
         const heartbeat_answer& answer);
 
+    /// Raises the own record over what another instance believes of it.
+    /// Returns true if the two differed.
+    bool refute(time_point now, const member_record& believed);
+
     /// Changes the announced state at once.
     void set_state(time_point now, member_state state);
 
--- a/include/masticslip/core/detail/membership_controller.hpp
+++ b/include/masticslip/core/detail/membership_controller.hpp
@@ -67,6 +67,14 @@
     /// configuration generation).
     void nudge_peers();
 
+    /// Called with what others believe of this node, if that reaches it by
+    /// gossip.
+    using self_handler = std::function<void(time_point, const member_record&)>;
+    void set_self_handler(self_handler handler)
+    {
+        this->on_self = std::move(handler);
+    }
+
     /// Limits the siblings named in heartbeat answers.
     void set_usable_filter(usable_filter filter)
     {
@@ -107,6 +115,8 @@
     void repeat_join(time_point now);
     void send_gossip();
     void send_digest();
+    /// An entry that left, to find out whether it was only cut off.
+    instance_id random_departed_entry();
     void judge_silence(time_point now);
     /// True if this node is to judge the instance; remembered until the set
     /// of entries changes.
@@ -125,6 +135,7 @@
     std::mt19937_64 random;
     member_table members;
     usable_filter usable;
+    self_handler on_self;
     std::deque<pending_delta> deltas;
     std::unordered_map<instance_id, observation> observations;
     std::unordered_map<instance_id, time_point> departed;
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -48,6 +48,14 @@
     this->membership.announce_self({}, this->heartbeats.self());
     this->membership.set_usable_filter([this](const member_record& record)
                                        { return !this->is_withdrawn(record); });
+    this->membership.set_self_handler(
+        [this](time_point now, const member_record& believed)
+        {
+            if (this->heartbeats.refute(now, believed))
+            {
+                this->membership.announce_self(now, this->heartbeats.self());
+            }
+        });
     this->configs.set_changed_handler([this](time_point)
                                       { this->on_configuration_changed(); });
 }
--- a/src/core/heartbeat_controller.cpp
+++ b/src/core/heartbeat_controller.cpp
@@ -108,12 +108,17 @@
     std::erase_if(
         this->known_siblings, [this](const instance_life& item)
         { return item.id == this->record.id; });
-    const bool contradicted = answer.known.life == this->record.life &&
-                              answer.known.version >= this->record.version &&
-                              answer.known.state != this->record.state;
+    return this->refute(now, answer.known);
+}
+
+bool heartbeat_controller::refute(time_point now, const member_record& believed)
+{
+    const bool contradicted = believed.life == this->record.life &&
+                              believed.version >= this->record.version &&
+                              believed.state != this->record.state;
     if (contradicted)
     {
-        this->record.version = answer.known.version + 1;
+        this->record.version = believed.version + 1;
         this->send_now(now);
     }
     return contradicted;
--- a/src/core/membership_controller.cpp
+++ b/src/core/membership_controller.cpp
@@ -19,7 +19,8 @@
 constexpr duration judgement_interval = 500ms;
 constexpr duration suspect_after = 1500ms;
 constexpr duration remove_after = 3s;
-constexpr duration forget_after = 10min;
+/// Longer than regions lose each other now and then.
+constexpr duration forget_after = 2h;
 constexpr duration join_interval = 100ms;
 /// A node that finds no peer for this long is the first one.
 constexpr duration join_limit = 3s;
@@ -102,6 +103,10 @@
         {
             this->merge(now, record);
         }
+        else if (this->on_self)
+        {
+            this->on_self(now, record);
+        }
     }
 }
 
@@ -257,6 +262,29 @@
     {
         this->output.send(peer, this->make_digest());
     }
+    const instance_id departed = this->random_departed_entry();
+    if (departed != instance_id{})
+    {
+        this->output.send(departed, this->make_digest());
+    }
+}
+
+instance_id membership_controller::random_departed_entry()
+{
+    std::vector<instance_id> candidates;
+    for (const auto& [id, since] : this->departed)
+    {
+        const member_record* record = this->members.find(id);
+        if (record != nullptr && record->role == member_role::entry)
+        {
+            candidates.push_back(id);
+        }
+    }
+    if (candidates.empty())
+    {
+        return {};
+    }
+    return candidates[this->random() % candidates.size()];
 }
 
 void membership_controller::judge_silence(time_point now)
--- a/src/daemon/companion_process.cpp
+++ b/src/daemon/companion_process.cpp
@@ -32,39 +32,6 @@
     return result;
 }
 
-/// Reads `{"service": ..., "epoch": ..., "draining": ...}`.
-std::optional<upstream_announcement> read_announcement(const bytes& payload)
-{
-    const std::string_view text(
-        reinterpret_cast<const char*>(payload.data()), payload.size());
-    json::error_code error;
-    const json::value root = json::parse(text, error);
-    const auto* object = error ? nullptr : root.if_object();
-    if (object == nullptr)
-    {
-        return std::nullopt;
-    }
-    const auto* service = object->if_contains("service");
-    const auto* epoch = object->if_contains("epoch");
-    const auto* draining = object->if_contains("draining");
-    const bool complete = service != nullptr && service->is_string() &&
-                          epoch != nullptr && epoch->is_number();
-    if (!complete)
-    {
-        return std::nullopt;
-    }
-    upstream_announcement result;
-    result.service = std::string(service->get_string());
-    result.epoch = epoch->to_number<std::uint64_t>(error);
-    result.draining =
-        draining != nullptr && draining->is_bool() && draining->get_bool();
-    if (error)
-    {
-        return std::nullopt;
-    }
-    return result;
-}
-
 } // namespace
 
 companion_process::companion_process(
@@ -242,7 +209,7 @@
 bool companion_process::take_announcement(
     const endpoint& from, const coap_message& message)
 {
-    const auto announcement = read_announcement(message.payload);
+    const auto announcement = parse_announcement(message.payload);
     if (!announcement)
     {
         return false;
--- a/standins/fleet/local_fleet.cpp
+++ b/standins/fleet/local_fleet.cpp
@@ -259,6 +259,16 @@
 }
 
 program_result local_fleet::run_cli(std::vector<std::string> arguments)
+{
+    const auto program = this->start_cli(std::move(arguments));
+    program->child.wait();
+    return {
+        program->child.exit_code(), read_file(program->out_file),
+        read_file(program->error_file)};
+}
+
+std::unique_ptr<background_program>
+local_fleet::start_cli(std::vector<std::string> arguments)
 {
     std::vector<std::string> entries;
     for (std::size_t i = 0; i < this->shape.entries; ++i)
@@ -268,15 +278,7 @@
     arguments.insert(
         arguments.end(), {"--store", to_string(this->address(0, 0, store_port)),
                           "--entries", join(entries)});
-    const std::string out = this->folder + "/cli.out";
-    const std::string errors = this->folder + "/cli.err";
-    std::filesystem::remove(out);
-    std::filesystem::remove(errors);
-    bp::child child(
-        this->programs + "/masticslip", bp::args(arguments), bp::std_out > out,
-        bp::std_err > errors);
-    child.wait();
-    return {child.exit_code(), read_file(out), read_file(errors)};
+    return this->start_program("masticslip", "cli", arguments);
 }
 
 std::unique_ptr<background_program> local_fleet::start_caller(
@@ -293,13 +295,22 @@
         entries.push_back(to_string(this->address(entry_group, i, port)));
     }
     arguments.insert(arguments.end(), {"--entries", join(entries)});
+    return this->start_program("standin_caller", "caller", arguments);
+}
+
+std::unique_ptr<background_program> local_fleet::start_program(
+    const std::string& program,
+    const std::string& kind,
+    const std::vector<std::string>& arguments)
+{
     auto result = std::make_unique<background_program>();
     const std::string base =
-        this->folder + "/caller-" + std::to_string(this->caller_count++);
+        this->folder + "/" + kind + "-" + std::to_string(this->program_count++);
     result->out_file = base + ".out";
+    result->error_file = base + ".err";
     result->child = bp::child(
-        this->programs + "/standin_caller", bp::args(arguments),
-        bp::std_out > result->out_file, bp::std_err > base + ".err");
+        this->programs + "/" + program, bp::args(arguments),
+        bp::std_out > result->out_file, bp::std_err > result->error_file);
     return result;
 }
 
--- a/standins/fleet/local_fleet.hpp
+++ b/standins/fleet/local_fleet.hpp
@@ -59,6 +59,7 @@
 {
     boost::process::child child;
     std::string out_file;
+    std::string error_file;
 };
 
 /// One upstream with its companion.
@@ -107,6 +108,10 @@
 
     program_result run_cli(std::vector<std::string> arguments);
 
+    /// Starts the command line in the background.
+    std::unique_ptr<background_program>
+    start_cli(std::vector<std::string> arguments);
+
     /// Starts the caller stand-in for a service.
     std::unique_ptr<background_program> start_caller(
         const std::string& service, std::vector<std::string> arguments);
@@ -156,6 +161,10 @@
         const std::string& name,
         const std::string& program,
         const std::vector<std::string>& arguments);
+    std::unique_ptr<background_program> start_program(
+        const std::string& program,
+        const std::string& kind,
+        const std::vector<std::string>& arguments);
     boost::json::object get_json(const endpoint& server, const char* target);
     bool is_ready();
 
@@ -165,7 +174,7 @@
     std::uint8_t network = 0;
     std::vector<upstream_place> places;
     std::map<std::string, std::unique_ptr<boost::process::child>> processes;
-    std::uint32_t caller_count = 0;
+    std::uint32_t program_count = 0;
 };
 
 } // namespace masticslip::standins
--- a/tests/at_most_once_test.cpp
+++ b/tests/at_most_once_test.cpp
@@ -183,6 +183,124 @@
     BOOST_TEST(fleet.violations().empty());
 }
 
+namespace
+{
+
+/// A sign-up for request number `id` under an Echo value.
+bytes make_signup(const std::string& id, const bytes& echo, std::uint8_t token)
+{
+    coap_message request;
+    request.code = coap_code::post;
+    request.message_id = token;
+    request.token = {token};
+    request.add_text(coap_option_number::uri_path, "signup");
+    request.set(coap_option_number::request_tag, {id.begin(), id.end()});
+    if (!echo.empty())
+    {
+        request.set(coap_option_number::echo, echo);
+    }
+    request.payload.assign(id.begin(), id.end());
+    return libcoap_codec().encode(request);
+}
+
+/// A fleet in which caller 0 has made request 0 and holds an Echo value.
+struct fleet_with_echo
+{
+    explicit fleet_with_echo(virtual_options options = {}) : fleet(options)
+    {
+        this->fleet.run_for(3s);
+        this->fleet.post(0);
+        this->fleet.run_for(1s);
+        this->fleet.on_delivery =
+            [this](std::size_t, const coap_message& message)
+        {
+            this->answers.push_back(message);
+        };
+    }
+
+    virtual_fleet fleet;
+    std::vector<coap_message> answers;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_forged_echo_runs_nothing)
+{
+    fleet_with_echo held;
+    const std::size_t number = held.fleet.post(1);
+    held.fleet.run_for(1s);
+    const std::uint32_t runs = held.fleet.requests()[number].executions;
+    for (std::size_t octet = 0; octet < 40; octet += 3)
+    {
+        bytes forged = held.fleet.echo_of(0);
+        forged[octet] ^= 1U;
+        const auto token = static_cast<std::uint8_t>(100 + octet);
+        held.fleet.inject(2, 0, make_signup("1", forged, token));
+        held.fleet.run_for(500ms);
+        BOOST_REQUIRE(!held.answers.empty());
+        BOOST_TEST((held.answers.back().code == coap_code::unauthorized));
+    }
+    BOOST_TEST(held.fleet.requests()[number].executions == runs);
+}
+
+BOOST_AUTO_TEST_CASE(one_request_through_all_entries_at_once_runs_once)
+{
+    virtual_options options;
+    options.entries = 4;
+    options.companions = 6;
+    fleet_with_echo held(options);
+    const bytes echo = held.fleet.echo_of(0);
+    for (int round = 0; round < 5; ++round)
+    {
+        for (std::size_t entry = 0; entry < 4; ++entry)
+        {
+            held.fleet.inject(0, entry, make_signup("0", echo, 200));
+        }
+    }
+    held.fleet.run_for(2s);
+    BOOST_TEST(held.fleet.requests()[0].executions == 1U);
+    for (const auto& answer : held.answers)
+    {
+        BOOST_TEST((answer.code == coap_code::changed));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_repeat_after_the_record_window_is_told_unknown)
+{
+    virtual_options options;
+    options.adjust = [](companion_settings& settings)
+    {
+        settings.echo_fresh = 2s;
+        settings.request_deadline = 1s;
+        settings.record_window = 4s;
+    };
+    fleet_with_echo held(options);
+    const bytes echo = held.fleet.echo_of(0);
+    held.fleet.run_for(10s);
+    held.fleet.inject(0, 1, make_signup("0", echo, 201));
+    held.fleet.run_for(1s);
+    BOOST_REQUIRE(!held.answers.empty());
+    BOOST_TEST((held.answers.back().code == coap_code::gateway_timeout));
+    BOOST_TEST(held.fleet.requests()[0].executions == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_stale_echo_without_record_is_told_not_run)
+{
+    virtual_options options;
+    options.adjust = [](companion_settings& settings)
+    {
+        settings.echo_fresh = 2s;
+    };
+    fleet_with_echo held(options);
+    const bytes echo = held.fleet.echo_of(0);
+    held.fleet.post(1);
+    held.fleet.run_for(5s);
+    held.fleet.inject(0, 1, make_signup("1-stale", echo, 202));
+    held.fleet.run_for(1s);
+    BOOST_REQUIRE(!held.answers.empty());
+    BOOST_TEST((held.answers.back().code == coap_code::unauthorized));
+}
+
 // Found by the Spin model (ownership, NO_RETIRED_AGE): a companion whose record
 // of a request had expired retired, and its sibling took the absence of the
 // record for "not run".
--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -214,6 +214,62 @@
     BOOST_TEST(fleet.count(request_end::no_answer) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_handed_over_watch_keeps_its_token_and_rises)
+{
+    virtual_options options = watch_options(60);
+    options.faults = {};
+    virtual_fleet fleet(options);
+    fleet.run_for(3s);
+    start_watches(fleet, 24);
+    run_with_news(fleet, 2s);
+
+    fleet.drain_companion(0);
+    run_with_news(fleet, 5s);
+
+    BOOST_TEST(fleet.events(event_kind::watch_handed_over) > 0U);
+    for (std::size_t i = 0; i < 24; ++i)
+    {
+        // A watch is found by its token; a value that does not rise is stale.
+        BOOST_TEST(fleet.watch_of(i).stale == 0U, "watch " << i);
+        BOOST_TEST(!fleet.watch_of(i).ended, "watch " << i);
+    }
+}
+
+BOOST_DATA_TEST_CASE(
+    entries_cut_from_each_other_agree_again, data::xrange(2), seed)
+{
+    virtual_options options = watch_options(static_cast<std::uint64_t>(seed));
+    options.faults = {};
+    virtual_fleet fleet(options);
+    fleet.run_for(3s);
+    start_watches(fleet, 24);
+    const auto set_cut = [&fleet](bool cut)
+    {
+        for (const std::size_t left : {0, 1})
+        {
+            for (const std::size_t right : {2, 3})
+            {
+                fleet.set_cut(fleet.entry_id(left), fleet.entry_id(right), cut);
+            }
+        }
+    };
+
+    set_cut(true);
+    run_with_news(fleet, 2s);
+    fleet.change([](configuration& value)
+                 { value.withdrawn_domains = {"domain-2"}; });
+    run_with_news(fleet, 10s);
+    set_cut(false);
+    run_with_news(fleet, 10s);
+
+    for (std::size_t i = 0; i < 4; ++i)
+    {
+        BOOST_TEST(fleet.entry(i)->config().number() == 2U, "entry " << i);
+        BOOST_TEST(
+            fleet.entry(i)->members().entries().size() == 4U, "entry " << i);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(death_of_an_upstream_breaks_only_its_own_watches)
 {
     virtual_fleet fleet(watch_options(30));
