--- a/include/masticslip/core/detail/request_controller.hpp
+++ b/include/masticslip/core/detail/request_controller.hpp
@@ -3,6 +3,7 @@
 /// within the deadline, and with exactly one final answer each.
 
 #include "masticslip/core/detail/acknowledged_relay.hpp"
+#include "masticslip/core/detail/answer_sender.hpp"
 #include "masticslip/core/detail/request_filters.hpp"
 #include "masticslip/core/detail/watch_controller.hpp"
 
@@ -124,15 +125,6 @@
     bool retry_refused(time_point now, const exchange& item);
     void note_transfer(
         time_point now, const exchange& item, const coap_message& response);
-    coap_message make_answer(
-        const coap_message& request, coap_code code, result_code result) const;
-    void send_answer(
-        time_point now,
-        const flow_key& flow,
-        instance_id entry,
-        const trace_context& trace,
-        const coap_message& request,
-        coap_message answer);
     void send_final(
         const request_context& context,
         coap_code code,
@@ -146,6 +138,7 @@
     ownership_controller& ownership;
     watch_controller& watches;
     const retirement_controller& retirement;
+    answer_sender answers;
     acknowledged_relay relay;
     execution_records records;
     std::vector<std::unique_ptr<request_filter>> filters;
--- a/src/core/request_controller.cpp
+++ b/src/core/request_controller.cpp
@@ -35,7 +35,7 @@
     watch_controller& watches,
     const retirement_controller& retirement)
     : context(context), ownership(ownership), watches(watches),
-      retirement(retirement),
+      retirement(retirement), answers(context, ownership),
       relay(
           ownership,
           [this](time_point now, const forward_message& message)
@@ -204,7 +204,7 @@
         response.find(coap_option_number::observe) != nullptr;
     if (refused)
     {
-        answer = this->make_answer(
+        answer = this->answers.make(
             item.request, coap_code::service_unavailable,
             result_code::not_run_upstream_refused);
         answer.set_uint(
@@ -232,7 +232,7 @@
     {
         this->records.finish(now, item.key, answer);
     }
-    this->send_answer(
+    this->answers.send(
         now, item.flow, item.entry, item.trace, item.request,
         std::move(answer));
 }
@@ -435,7 +435,7 @@
         return;
     }
     coap_message answer =
-        this->make_answer(item.request, coap_code::gateway_timeout, code);
+        this->answers.make(item.request, coap_code::gateway_timeout, code);
     answer.set_uint(
         coap_option_number::max_age, this->context.retry_after(now, item.flow));
     if (item.request.is_non_idempotent())
@@ -443,7 +443,7 @@
         this->records.finish(now, item.key, answer);
     }
     this->context.report(now, event_kind::request_unknown, item.flow, code);
-    this->send_answer(
+    this->answers.send(
         now, item.flow, item.entry, item.trace, item.request,
         std::move(answer));
 }
@@ -476,10 +476,10 @@
     this->context.report(
         item.now, event_kind::request_refused, item.flow(),
         result_code::not_run_echo_required);
-    this->send_answer(
+    this->answers.send(
         item.now, item.flow(), item.message.entry, item.message.trace,
         item.request,
-        this->make_answer(
+        this->answers.make(
             item.request, coap_code::unauthorized,
             result_code::not_run_echo_required));
 }
@@ -487,7 +487,7 @@
 void request_controller::repeat_answer(
     const request_context& item, const coap_message& answer)
 {
-    this->send_answer(
+    this->answers.send(
         item.now, item.flow(), item.message.entry, item.message.trace,
         item.request, answer);
 }
@@ -544,24 +544,13 @@
     return this->by_token.contains(make_token_key(item.flow(), item.request));
 }
 
-coap_message request_controller::make_answer(
-    const coap_message& request, coap_code code, result_code result) const
-{
-    coap_message answer;
-    answer.code = code;
-    answer.token = request.token;
-    const std::string_view name = to_string(result);
-    answer.payload.assign(name.begin(), name.end());
-    return answer;
-}
-
 void request_controller::send_final(
     const request_context& item,
     coap_code code,
     result_code result,
     bool record)
 {
-    coap_message answer = this->make_answer(item.request, code, result);
+    coap_message answer = this->answers.make(item.request, code, result);
     answer.set_uint(
         coap_option_number::max_age,
         this->context.retry_after(item.now, item.flow()));
@@ -569,39 +558,11 @@
     {
         this->records.finish(item.now, item.key, answer);
     }
-    this->send_answer(
+    this->answers.send(
         item.now, item.flow(), item.message.entry, item.message.trace,
         item.request, std::move(answer));
 }
 
-void request_controller::send_answer(
-    time_point now,
-    const flow_key& flow,
-    instance_id entry,
-    const trace_context& trace,
-    const coap_message& request,
-    coap_message answer)
-{
-    answer.token = request.token;
-    const owned_flow* owned = this->ownership.find(flow);
-    if (request.type == coap_type::confirmable)
-    {
-        answer.type = coap_type::acknowledgement;
-        answer.message_id = request.message_id;
-    }
-    else
-    {
-        answer.type = coap_type::non_confirmable;
-        answer.message_id = static_cast<std::uint16_t>(~request.message_id);
-    }
-    const echo_claim claim{
-        this->context.settings.self, this->context.settings.life, now};
-    answer.set(coap_option_number::echo, this->context.issuer.issue(claim));
-    this->context.send_to_caller(
-        this->context.live_entry(flow, entry, 0), flow, trace, owned != nullptr,
-        answer);
-}
-
 void request_controller::cancel_at_upstream(exchange_id id)
 {
     coap_message cancel;
