Recognize Echo values of the former key during a rotation

Cause: read as a newcomer: a companion restarted with a new key took an Echo value of before the rotation for a forged one and answered 4.01, 'not run', although its former life may have run the request.

Ruled out: the wire codec (it already accepted both keys).

--- a/fuzz/fuzz_targets.cpp
+++ b/fuzz/fuzz_targets.cpp
@@ -311,7 +311,7 @@
     settings.life = {1};
     settings.service = "meetups";
     settings.failure_domain = "a";
-    settings.key = key;
+    settings.keys = {key};
     companion_core core(settings, output, sink, codec);
     fuzz_core(
         inputs, count, core,
--- a/include/masticslip/core/detail/companion_context.hpp
+++ b/include/masticslip/core/detail/companion_context.hpp
@@ -31,7 +31,8 @@
     /// Service that the upstream must announce.
     std::string service;
     std::vector<instance_id> seeds;
-    shared_key key{};
+    /// The first signs Echo values; any verifies them.
+    std::vector<shared_key> keys;
     limit_policy policy = limit_policy::aimd;
     /// Longest time that a request may take.
     duration request_deadline = std::chrono::seconds(10);
--- a/include/masticslip/core/echo_token.hpp
+++ b/include/masticslip/core/echo_token.hpp
@@ -13,6 +13,8 @@
 
 #include <array>
 #include <optional>
+#include <utility>
+#include <vector>
 
 namespace masticslip
 {
@@ -35,7 +37,9 @@
 class echo_issuer
 {
 public:
-    explicit echo_issuer(const shared_key& key) : key(key)
+    /// The first key issues; any key verifies, so that values issued before a
+    /// key rotation are still recognized. Precondition: one key at least.
+    explicit echo_issuer(std::vector<shared_key> keys) : keys(std::move(keys))
     {
     }
 
@@ -46,7 +50,7 @@
     [[nodiscard]] std::optional<echo_claim> verify(const bytes& value) const;
 
 private:
-    shared_key key;
+    std::vector<shared_key> keys;
 };
 
 } // namespace masticslip
--- a/src/core/companion_context.cpp
+++ b/src/core/companion_context.cpp
@@ -47,7 +47,7 @@
     : settings(std::move(settings)), output(output), events(events),
       codec(codec), configs(output, events),
       heartbeats(output, make_self(this->settings), this->settings.seeds),
-      freeze(freeze_limit, freeze_give_up), issuer(this->settings.key),
+      freeze(freeze_limit, freeze_give_up), issuer(this->settings.keys),
       limit(make_admission_limit(this->settings.policy, initial_maximum)),
       retries(retry_ratio, retry_burst),
       service(make_service_id(this->settings.service))
--- a/src/core/echo_token.cpp
+++ b/src/core/echo_token.cpp
@@ -1,6 +1,6 @@
 #include "masticslip/core/echo_token.hpp"
 
-#include <cstring>
+#include <algorithm>
 
 #include <sodium.h>
 
@@ -51,7 +51,7 @@
     put_word(value, claim.life.value);
     const auto issued = claim.issued.time_since_epoch().count();
     put_word(value, static_cast<std::uint64_t>(issued));
-    const auto tag = make_tag(value, this->key);
+    const auto tag = make_tag(value, this->keys.front());
     value.insert(value.end(), tag.begin(), tag.end());
     return value;
 }
@@ -62,8 +62,13 @@
     {
         return std::nullopt;
     }
-    const auto tag = make_tag(value, this->key);
-    if (sodium_memcmp(tag.data(), value.data() + claim_size, tag_size) != 0)
+    const auto matches = [&value](const shared_key& key)
+    {
+        const auto tag = make_tag(value, key);
+        return sodium_memcmp(tag.data(), value.data() + claim_size, tag_size) ==
+               0;
+    };
+    if (std::none_of(this->keys.begin(), this->keys.end(), matches))
     {
         return std::nullopt;
     }
--- a/src/core/policies_test.cpp
+++ b/src/core/policies_test.cpp
@@ -268,8 +268,8 @@
 
 BOOST_AUTO_TEST_CASE(verifies_its_own_and_refuses_forged_values)
 {
-    const echo_issuer issuer(shared_key{1, 2, 3});
-    const echo_issuer stranger(shared_key{3, 2, 1});
+    const echo_issuer issuer({shared_key{1, 2, 3}});
+    const echo_issuer stranger({shared_key{3, 2, 1}});
     const echo_claim claim{{77}, {5}, start};
     const bytes value = issuer.issue(claim);
 
@@ -285,6 +285,18 @@
     BOOST_TEST(value.size() == 40U);
 }
 
+BOOST_AUTO_TEST_CASE(recognizes_values_of_the_former_key)
+{
+    const shared_key former{1, 2, 3};
+    const shared_key current{3, 2, 1};
+    const echo_issuer before({former});
+    const echo_issuer rotated({current, former});
+    const echo_claim claim{{77}, {5}, start};
+
+    BOOST_TEST((rotated.verify(before.issue(claim)) == claim));
+    BOOST_TEST(!before.verify(rotated.issue(claim)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(execution_record_store)
--- a/src/daemon/companion_process.cpp
+++ b/src/daemon/companion_process.cpp
@@ -27,7 +27,7 @@
     result.failure_domain = settings.failure_domain;
     result.service = settings.service;
     result.seeds = settings.seeds;
-    result.key = settings.keys.front();
+    result.keys = settings.keys;
     result.policy = settings.policy;
     return result;
 }
--- a/tests/support/virtual_nodes.hpp
+++ b/tests/support/virtual_nodes.hpp
@@ -143,7 +143,7 @@
         settings.failure_domain = domain_name(this->domain);
         settings.service = virtual_service;
         settings.seeds = {entry_address(0), entry_address(1)};
-        settings.key = key;
+        settings.keys = {key};
         settings.policy = this->fleet.options.policy;
         if (this->fleet.options.adjust)
         {
