--- a/tests/at_most_once_test.cpp
+++ b/tests/at_most_once_test.cpp
@@ -301,6 +301,43 @@
     BOOST_TEST((held.answers.back().code == coap_code::unauthorized));
 }
 
+BOOST_AUTO_TEST_CASE(a_deadline_ends_the_request_and_cancels_the_work)
+{
+    virtual_options options;
+    options.companions = 1;
+    options.service_time = 5s;
+    options.upstream_slots = 1;
+    virtual_fleet fleet(options);
+    fleet.run_for(3s);
+    std::vector<coap_message> answers;
+    fleet.on_delivery = [&](std::size_t, const coap_message& message)
+    {
+        answers.push_back(message);
+    };
+    const std::size_t number = fleet.post(0);
+    fleet.run_for(100ms);
+    BOOST_TEST(fleet.upstream(0).works.size() == 1U);
+    coap_message request;
+    request.code = coap_code::get;
+    request.token = {77};
+    request.add_text(coap_option_number::uri_path, "board");
+    request.set_uint(coap_option_number::deadline, 300);
+
+    fleet.run_for(10s);
+    const std::uint32_t runs = fleet.requests()[number].executions;
+    answers.clear();
+    fleet.inject(1, 0, libcoap_codec().encode(request));
+    fleet.run_for(250ms);
+    BOOST_TEST(fleet.upstream(0).works.size() == 1U);
+    BOOST_TEST(answers.empty());
+    fleet.run_for(150ms);
+
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST((answers.front().code == coap_code::gateway_timeout));
+    BOOST_TEST(fleet.upstream(0).works.empty());
+    BOOST_TEST(fleet.requests()[number].executions == runs);
+}
+
 // Found by the Spin model (ownership, NO_RETIRED_AGE): a companion whose record
 // of a request had expired retired, and its sibling took the absence of the
 // record for "not run".
--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -7,6 +7,8 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <map>
+
 namespace
 {
 
@@ -124,6 +126,24 @@
     BOOST_TEST(fleet.count(request_end::no_answer) == 0U);
     BOOST_TEST(fleet.count(request_end::not_run) > 0U);
     BOOST_TEST(fleet.violations().empty());
+    // Refusals are told at once, and callers are not told to come back
+    // together.
+    std::map<std::uint32_t, std::size_t> times;
+    for (const auto& request : fleet.requests())
+    {
+        if (request.end == request_end::not_run)
+        {
+            ++times[request.retry_after];
+            BOOST_TEST((request.ended - request.started < 300ms));
+        }
+    }
+    BOOST_TEST(times.size() >= 3U);
+    for (const auto& [seconds, count] : times)
+    {
+        BOOST_TEST(
+            count < fleet.count(request_end::not_run) / 2,
+            "retry after " << seconds << " s was told " << count << " times");
+    }
 }
 
 BOOST_DATA_TEST_CASE(watches_survive_the_loss_of_entries, data::xrange(3), seed)
