Look up one watch instead of copying all; remove dead state

Cause: reading the whole change once more: for each watch that a sibling hands over, the receiver copied its list of all watches to find one by flow and token, although the watch controller has that look-up. A counter of hand-overs and a field of the caller stand-in were written or declared and never read.

Ruled out: any change of behaviour.

Change: watch_controller::holds; the dead members and unused includes go.

--- a/include/masticslip/core/detail/watch_controller.hpp
+++ b/include/masticslip/core/detail/watch_controller.hpp
@@ -77,6 +77,9 @@
         const message_header& header,
         const watch_handoff_ack& message);
 
+    /// True if there is a watch with this flow and token.
+    [[nodiscard]] bool holds(const flow_key& flow, const bytes& token);
+
     /// All watches, to register them again at a restarted upstream.
     [[nodiscard]] std::vector<watch_start> list() const;
 
@@ -94,7 +97,6 @@
         std::uint32_t attempts = 0;
         time_point repeat_at;
         time_point hand_over_at;
-        std::uint32_t hand_overs = 0;
     };
 
     using watch_map = std::map<exchange_id, watch>;
--- a/src/core/admission_limit.cpp
+++ b/src/core/admission_limit.cpp
@@ -1,7 +1,6 @@
 #include "masticslip/core/admission_limit.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace masticslip
 {
--- a/src/core/policies_test.cpp
+++ b/src/core/policies_test.cpp
@@ -14,7 +14,6 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <cmath>
 #include <ostream>
 
 namespace masticslip
--- a/src/core/request_controller.cpp
+++ b/src/core/request_controller.cpp
@@ -324,16 +324,11 @@
     {
         return;
     }
-    for (const auto& held : this->watches.list())
+    if (this->watches.holds(message.flow, request->token))
     {
-        const bool same =
-            held.flow == message.flow && held.request.token == request->token;
-        if (same)
-        {
-            this->context.output.send(
-                header.sender, watch_handoff_ack{message.transfer});
-            return;
-        }
+        this->context.output.send(
+            header.sender, watch_handoff_ack{message.transfer});
+        return;
     }
     const auto is_same = [&](const exchange& item)
     {
--- a/src/core/watch_controller.cpp
+++ b/src/core/watch_controller.cpp
@@ -209,6 +209,11 @@
     }
 }
 
+bool watch_controller::holds(const flow_key& flow, const bytes& token)
+{
+    return this->find(flow, token) != this->watches.end();
+}
+
 std::vector<watch_start> watch_controller::list() const
 {
     std::vector<watch_start> result;
@@ -281,7 +286,6 @@
     message.observe = item.origin.observe;
     message.request = this->context.codec.encode(item.origin.request);
     this->context.output.send(sibling->id, message);
-    ++item.hand_overs;
 }
 
 watch_controller::watch_map::iterator
--- a/standins/caller_session.hpp
+++ b/standins/caller_session.hpp
@@ -117,7 +117,6 @@
     {
         std::string id;
         std::uint32_t next = 0;
-        std::string first_line;
         outcome_handler handler;
         steady::time_point started;
     };
--- a/tests/support/virtual_caller.cpp
+++ b/tests/support/virtual_caller.cpp
@@ -3,7 +3,6 @@
 #include "virtual_nodes.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace masticslip::testing
 {
