--- a/include/masticslip/core/configuration.hpp
+++ b/include/masticslip/core/configuration.hpp
@@ -12,6 +12,7 @@
 #include "masticslip/core/failure_reason.hpp"
 #include "masticslip/core/types.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -33,12 +34,42 @@
 struct service_definition
 {
     std::string name;
+    /// Zero for datagram services that are reached through routes.
     endpoint address;
     service_protocol protocol = service_protocol::coap;
+    /// New flows a second that a cold upstream bears; zero: not stated.
+    double cold_flows_per_second = 0;
+    /// Open flows that one upstream bears; zero: not stated.
+    std::uint32_t max_flows = 0;
 
     bool operator==(const service_definition&) const = default;
 };
 
+/// Whether the requests inside a flow may run more than once.
+enum class request_kind : std::uint8_t
+{
+    safe,   ///< Callers repeat them after any failure.
+    unsafe, ///< At most once; callers repeat only what has not run.
+    upload  ///< At most once, with a large body.
+};
+
+/// A called address of a datagram service. Several may lead to one service.
+struct route_definition
+{
+    std::string name;
+    endpoint address;
+    std::string service;
+    request_kind kind = request_kind::unsafe;
+    /// Time after which a request is of no use; zero: not stated.
+    std::chrono::milliseconds time_limit{};
+    /// Time within which a request should be answered; zero: not stated.
+    std::chrono::milliseconds target_latency{};
+    /// Lower values go first.
+    std::uint32_t priority = 0;
+
+    bool operator==(const route_definition&) const = default;
+};
+
 /// Limits of one preset.
 struct preset_limits
 {
@@ -81,6 +112,10 @@
     generation number = 0;
     change_record change;
     std::vector<service_definition> services;
+    std::vector<route_definition> routes;
+    /// Flows of datagram services without packets for this long may be
+    /// forgotten; zero: not stated.
+    std::chrono::milliseconds flow_idle_limit{};
     std::vector<std::string> failure_domains;
     std::vector<std::string> withdrawn_domains;
     std::vector<preset> presets;
@@ -101,9 +136,11 @@
 /// Largest accepted document in bytes: it must fit one internal datagram.
 constexpr std::size_t max_document_size = std::size_t{48} * 1024;
 
-/// Parses and checks a document. Thread-safe.
-std::optional<configuration>
-parse_configuration(std::string_view text, failure_reason& reason);
+/// Parses and checks a document of at most `max_size` bytes. Thread-safe.
+std::optional<configuration> parse_configuration(
+    std::string_view text,
+    failure_reason& reason,
+    std::size_t max_size = max_document_size);
 
 /// Checks a typed document; returns nullopt and a reason if a rule is broken.
 std::optional<configuration>
--- a/include/masticslip/core/result_code.hpp
+++ b/include/masticslip/core/result_code.hpp
@@ -22,11 +22,15 @@
     not_run_upstream_refused = 105,
     not_run_upload_interrupted = 106,
     not_run_no_configuration = 107,
+    not_run_no_route = 108,
+    not_run_upstream_leaving = 109,
+    not_run_upstream_cold = 110,
     unknown_companion_gone = 201,
     unknown_record_expired = 202,
     unknown_upstream_silent = 203,
     unknown_domain_withdrawn = 204,
     unknown_stopping = 205,
+    unknown_flow_lost = 206,
     watch_ended_domain_withdrawn = 301,
     watch_ended_stopping = 302,
     config_accepted = 400,
@@ -53,7 +57,7 @@
 };
 
 /// All codes in ascending order.
-extern const std::array<result_code_entry, 29> result_code_table;
+extern const std::array<result_code_entry, 33> result_code_table;
 
 /// Returns the stable name of a code.
 std::string_view to_string(result_code code);
--- /dev/null
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -0,0 +1,218 @@
+#pragma once
+/// Decisions of a companion on the layer-4 path.
+///
+/// The companion is the only way to its upstream, and so the one gate for new
+/// flows: it needs no agreement with others. It admits an opening packet only
+/// if the upstream accepts new flows, the newest known policy leads the called
+/// address to the upstream's service, the failure domain is not withdrawn and
+/// the upstream is not beyond its limits. Packets of open flows always pass.
+///
+///     companion_flow_core core(settings, output, events);
+///     core.on_policy(now, policy);
+///     core.on_caller_packet(now, entry, packet);
+///
+/// Caveat: a companion that has restarted does not know which flows its
+/// upstream holds. It passes packets of unknown flows on and learns from the
+/// upstream's answer, until it has seen a whole life of the upstream.
+
+#include "masticslip/core/detail/freeze_guard.hpp"
+#include "masticslip/flow/cold_start_limit.hpp"
+#include "masticslip/flow/flow_event.hpp"
+#include "masticslip/flow/policy.hpp"
+#include "masticslip/flow/upstream_monitor.hpp"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace masticslip
+{
+
+/// Effects of the core. Called on the thread that drives it.
+class companion_flow_output
+{
+public:
+    virtual ~companion_flow_output() = default;
+
+    /// Passes a packet to the upstream unchanged.
+    virtual void send_to_upstream(byte_view packet) = 0;
+    /// Passes a packet of the upstream to its caller unchanged.
+    virtual void send_to_caller(const endpoint& caller, byte_view packet) = 0;
+    /// Ends a flow at the caller; `sequence` is the caller's acknowledgement.
+    virtual void
+    reset_caller(const flow_ends& flow, std::uint32_t sequence) = 0;
+    virtual void send(instance_id to, const flow_message& message) = 0;
+    /// Asks an entry for its policy.
+    virtual void fetch_policy(instance_id from) = 0;
+    /// An entry does not see this companion in the store.
+    virtual void on_not_listed() = 0;
+};
+
+/// Who the companion is, and its upstream's figures.
+struct companion_flow_settings
+{
+    std::string name;
+    std::string service;
+    std::string failure_domain;
+    endpoint packet_address;
+    /// Interval of the upstream's status messages.
+    std::chrono::milliseconds status_interval{1'000};
+    /// Flows older than this may be forgotten.
+    std::chrono::seconds flow_age_limit{60};
+};
+
+/// Not thread-safe; times must not decrease.
+class companion_flow_core
+{
+public:
+    /// Output and events must outlive the core.
+    companion_flow_core(
+        companion_flow_settings settings,
+        companion_flow_output& output,
+        flow_event_sink& events);
+
+    /// Applies a policy if it is newer than the one in force.
+    void on_policy(time_point now, std::shared_ptr<const policy> value);
+
+    /// The upstream's status, or its departure. True if it was accepted.
+    bool on_status(time_point now, const upstream_status& status);
+    bool on_departure(time_point now, const upstream_incarnation& incarnation);
+
+    /// A caller's packet that an entry passed on.
+    void on_caller_packet(
+        time_point now, instance_id entry, const flow_packet& packet);
+
+    /// A packet that the upstream sent.
+    void on_upstream_packet(time_point now, const flow_packet& packet);
+
+    void
+    on_message(time_point now, instance_id sender, const flow_message& message);
+
+    /// Call at least every `tick_interval`.
+    void on_tick(time_point now);
+
+    /// The process is about to stop: tells the entries.
+    void on_stop(time_point now);
+
+    [[nodiscard]] upstream_load load(time_point now);
+
+    [[nodiscard]] const policy& current_policy() const
+    {
+        return *this->policy_in_force;
+    }
+
+    [[nodiscard]] std::shared_ptr<const policy> shared_policy() const
+    {
+        return this->policy_in_force;
+    }
+
+    [[nodiscard]] const upstream_monitor& upstream() const
+    {
+        return this->monitor;
+    }
+
+    [[nodiscard]] std::size_t flow_count() const
+    {
+        return this->flows.size();
+    }
+
+    /// Longest pause between calls of on_tick.
+    static constexpr std::chrono::milliseconds tick_interval{250};
+
+private:
+    enum class flow_state : std::uint8_t
+    {
+        probing,   ///< Sent to the upstream to learn whether it is there.
+        half_open, ///< The opening packet was passed on.
+        open,
+        ended,
+        absent ///< The upstream has said that it does not hold it.
+    };
+
+    struct flow_record
+    {
+        flow_state state = flow_state::half_open;
+        bool accepted = false;
+        bool awaits_answer = false;
+        bool caller_closed = false;
+        bool upstream_closed = false;
+        instance_id entry;
+        /// First and newest sequence numbers seen of the upstream.
+        std::uint32_t first_sequence = 0;
+        std::uint32_t upstream_sequence = 0;
+        /// End of the caller's data seen so far.
+        std::uint32_t caller_sequence = 0;
+        time_point created;
+        time_point last_packet;
+        time_point request_at;
+    };
+
+    using flow_table =
+        boost::unordered_flat_map<flow_ends, flow_record, std::hash<flow_ends>>;
+
+    void
+    on_opening(time_point now, instance_id entry, const flow_packet& packet);
+    result_code admission(time_point now, const flow_packet& packet);
+    result_code route_admission(const flow_packet& packet) const;
+    void refuse(
+        time_point now,
+        instance_id entry,
+        const flow_packet& packet,
+        result_code reason);
+    void on_unknown_flow(
+        time_point now, instance_id entry, const flow_packet& packet);
+    void
+    return_packet(time_point now, instance_id entry, const flow_packet& packet);
+    void pass_to_upstream(time_point now, const flow_packet& packet);
+    static bool acknowledges(const flow_record& flow, std::uint32_t number);
+    void note_caller_data(
+        time_point now, flow_record& flow, const flow_packet& packet);
+    void on_bounced(time_point now, const flow_packet& packet);
+    void
+    on_accepted(time_point now, flow_record& flow, const flow_packet& packet);
+    void note_upstream_data(
+        time_point now, flow_record& flow, const flow_packet& packet);
+    void set_waiting(flow_record& flow, bool value);
+    void set_state(flow_record& flow, flow_state state);
+    [[nodiscard]] ownership
+    ownership_of(const flow_ends& flow, std::uint32_t acknowledged) const;
+    void
+    on_hello(time_point now, instance_id sender, const entry_hello& message);
+    [[nodiscard]] companion_report report(time_point now);
+    void send_reports(time_point now);
+    void forget_flows(time_point now);
+    void observe(time_point now);
+    void emit(
+        time_point now,
+        flow_event_kind kind,
+        const flow_ends& flow,
+        instance_id peer,
+        result_code code,
+        std::string_view detail = {});
+
+    struct known_entry
+    {
+        time_point heard;
+        time_point reported;
+    };
+
+    companion_flow_settings settings;
+    companion_flow_output& output;
+    flow_event_sink& events;
+    std::shared_ptr<const policy> policy_in_force;
+    upstream_monitor monitor;
+    cold_start_limit cold_limit;
+    detail::freeze_guard freeze;
+    flow_table flows;
+    std::map<instance_id, known_entry> entries;
+    std::uint32_t in_flight = 0;
+    std::uint32_t open_flows = 0;
+    time_point next_sweep;
+    bool stopping = false;
+    bool was_withdrawn = false;
+    result_code last_refusal = result_code::not_run_no_upstream;
+};
+
+} // namespace masticslip
--- /dev/null
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -0,0 +1,210 @@
+#pragma once
+/// Decisions of an entry on the layer-4 path.
+///
+/// An entry places the opening packet of a flow at a companion, remembers
+/// where, and sends the flow's later packets there. What it remembers is a
+/// guess until the companion confirms it; on a miss it asks the companions of
+/// the service who holds the flow. Companions answer callers directly, so an
+/// entry carries one direction only.
+///
+///     entry_flow_core core(settings, output, events);
+///     core.on_policy(now, policy);
+///     core.on_listed(now, record);
+///     core.on_caller_packet(now, packet);
+///
+/// Caveat: look-ups ask at most `look_up_width` companions, ranked by
+/// rendezvous hash over the flow, and flows are placed only among them.
+
+#include "masticslip/flow/companion_directory.hpp"
+#include "masticslip/flow/flow_event.hpp"
+#include "masticslip/flow/flow_placement.hpp"
+#include "masticslip/flow/policy.hpp"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace masticslip
+{
+
+/// Effects of the core. Called on the thread that drives it.
+class entry_flow_output
+{
+public:
+    virtual ~entry_flow_output() = default;
+
+    /// Passes a caller's packet to a companion unchanged.
+    virtual void send_packet(const endpoint& companion, byte_view packet) = 0;
+    /// Ends a flow at the caller; `sequence` is the caller's acknowledgement.
+    virtual void
+    reset_caller(const flow_ends& flow, std::uint32_t sequence) = 0;
+    virtual void send(instance_id to, const flow_message& message) = 0;
+    /// Asks a companion for its policy.
+    virtual void fetch_policy(instance_id from) = 0;
+};
+
+/// Who the entry is.
+struct entry_flow_settings
+{
+    std::string failure_domain;
+    /// Most flows that are remembered.
+    std::size_t max_flows = 200'000;
+};
+
+/// Not thread-safe; times must not decrease.
+class entry_flow_core
+{
+public:
+    /// Output and events must outlive the core.
+    entry_flow_core(
+        entry_flow_settings settings,
+        entry_flow_output& output,
+        flow_event_sink& events);
+
+    /// Applies a policy if it is newer than the one in force.
+    void on_policy(time_point now, std::shared_ptr<const policy> value);
+
+    /// The store lists a companion.
+    void on_listed(time_point now, const companion_record& record);
+
+    /// The store lists a companion no longer.
+    void on_unlisted(time_point now, instance_id id);
+
+    /// A packet from a caller.
+    void on_caller_packet(time_point now, const flow_packet& packet);
+
+    void
+    on_message(time_point now, instance_id sender, const flow_message& message);
+
+    /// A packet that a companion returned, decoded again.
+    void on_returned_packet(
+        time_point now, instance_id sender, const flow_packet& packet);
+
+    /// Call at least every `tick_interval`, and at next_deadline().
+    void on_tick(time_point now);
+
+    /// Time at which on_tick has to decide something, if any.
+    [[nodiscard]] std::optional<time_point> next_deadline() const;
+
+    /// True if the policy is known and some companion has answered.
+    [[nodiscard]] bool is_ready() const;
+
+    [[nodiscard]] const policy& current_policy() const
+    {
+        return *this->policy_in_force;
+    }
+
+    [[nodiscard]] std::shared_ptr<const policy> shared_policy() const
+    {
+        return this->policy_in_force;
+    }
+
+    [[nodiscard]] companion_directory& companions()
+    {
+        return this->directory;
+    }
+
+    [[nodiscard]] std::size_t flow_count() const
+    {
+        return this->flows.size();
+    }
+
+    /// Longest pause between calls of on_tick.
+    static constexpr std::chrono::milliseconds tick_interval{250};
+
+private:
+    struct flow_record
+    {
+        instance_id companion;
+        /// True once a companion has confirmed that its upstream has the flow.
+        bool confirmed = false;
+        bool closing = false;
+        time_point last_packet;
+    };
+
+    /// An opening packet that no companion has confirmed yet.
+    struct opening
+    {
+        bytes packet;
+        std::uint32_t acknowledged = 0;
+        time_point first_seen;
+        time_point deadline;
+        std::vector<instance_id> tried;
+        /// Companions tried that have not answered.
+        std::uint32_t unanswered = 0;
+        result_code last_refusal = result_code::not_run_no_upstream;
+    };
+
+    /// A search for the owner of a flow.
+    struct look_up
+    {
+        service_id service;
+        std::vector<bytes> packets;
+        std::uint32_t acknowledged = 0;
+        bool has_payload = false;
+        time_point started;
+        time_point deadline;
+        std::vector<instance_id> pending;
+        std::vector<instance_id> uncertain;
+        std::vector<instance_id> absent;
+    };
+
+    template <class Value>
+    using flow_table =
+        boost::unordered_flat_map<flow_ends, Value, std::hash<flow_ends>>;
+
+    void on_opening(time_point now, const flow_packet& packet);
+    void place(time_point now, const flow_ends& flow, opening& item);
+    void reject(time_point now, const flow_ends& flow, opening& item);
+    std::vector<instance_id>
+    ranked_companions(service_id service, const flow_ends& flow) const;
+    std::vector<placement_candidate>
+    candidates_for(const flow_ends& flow, const opening& item);
+    void forward(time_point now, flow_record& flow, const flow_packet& packet);
+    void start_look_up(
+        time_point now,
+        const flow_packet& packet,
+        std::optional<instance_id> except);
+    void finish_look_up(time_point now, const flow_ends& flow);
+    void settle_owner(
+        time_point now, const flow_ends& flow, instance_id owner, bool sure);
+    void
+    on_opened(time_point now, instance_id sender, const flow_opened& message);
+    void
+    on_refused(time_point now, instance_id sender, const flow_refused& message);
+    void
+    on_answer(time_point now, instance_id sender, const owner_answer& message);
+    void on_report(
+        time_point now, instance_id sender, const companion_report& message);
+    void greet(time_point now, directory_member& member);
+    void greet_all(time_point now);
+    void expire_openings(time_point now);
+    void expire_look_ups(time_point now);
+    void forget_flows(time_point now);
+    void forget_members(time_point now);
+    void emit(
+        time_point now,
+        flow_event_kind kind,
+        const flow_ends& flow,
+        instance_id peer,
+        result_code code,
+        std::uint32_t candidates = 0,
+        std::uint32_t attempts = 0,
+        duration elapsed = {});
+
+    entry_flow_settings settings;
+    entry_flow_output& output;
+    flow_event_sink& events;
+    std::shared_ptr<const policy> policy_in_force;
+    companion_directory directory;
+    flow_table<flow_record> flows;
+    flow_table<opening> openings;
+    flow_table<look_up> look_ups;
+    time_point next_sweep;
+    bool heard_companion = false;
+};
+
+} // namespace masticslip
--- /dev/null
+++ b/include/masticslip/flow/flow_messages.hpp
@@ -0,0 +1,118 @@
+#pragma once
+/// Control messages between entries and companions on the layer-4 path.
+///
+/// Entries and companions exchange entry_hello and companion_report at a
+/// steady rate; both carry the sender's policy revision, so that whoever is
+/// behind asks the other. The codec is
+/// `masticslip/wire/flow_message_codec.hpp`.
+
+#include "masticslip/core/result_code.hpp"
+#include "masticslip/flow/flow_packet.hpp"
+
+#include <string>
+#include <variant>
+
+namespace masticslip
+{
+
+/// What an upstream bears at the moment, as its companion sees it.
+struct upstream_load
+{
+    /// Requests that wait for an answer.
+    std::uint32_t in_flight = 0;
+    /// Flows that are open.
+    std::uint32_t open_flows = 0;
+    /// Requests that the upstream works on at the same time.
+    std::uint32_t concurrency = 1;
+    /// Why new flows are refused; `done` if they are accepted.
+    result_code refusal = result_code::not_run_no_upstream;
+    /// True while the upstream bears only few new flows.
+    bool is_cold = false;
+    /// New flows that a cold upstream bears at once.
+    std::uint32_t cold_room = 0;
+
+    bool operator==(const upstream_load&) const = default;
+};
+
+/// Entry to companion: the entry is alive and has this policy.
+struct entry_hello
+{
+    std::uint64_t policy_revision = 0;
+    /// False if the store does not list the companion.
+    bool is_listed = true;
+};
+
+/// Companion to entry: identity, load and policy.
+struct companion_report
+{
+    std::string name;
+    std::string service;
+    std::string failure_domain;
+    /// Address that takes callers' packets for the upstream.
+    endpoint packet_address;
+    upstream_load load;
+    std::uint64_t policy_revision = 0;
+    /// The companion is about to stop; its upstream stays if it restarts.
+    bool is_stopping = false;
+    /// The upstream has gone for good.
+    bool has_left = false;
+};
+
+/// The upstream has accepted a flow.
+struct flow_opened
+{
+    flow_ends flow;
+    /// First sequence number of the upstream, which the caller acknowledges.
+    std::uint32_t upstream_sequence = 0;
+    upstream_load load;
+};
+
+/// An opening packet was not taken.
+struct flow_refused
+{
+    flow_ends flow;
+    result_code reason = result_code::not_run_overloaded;
+    upstream_load load;
+};
+
+/// Asks whether the receiver's upstream holds a flow.
+struct owner_query
+{
+    flow_ends flow;
+    /// The caller's last acknowledgement; tells apart two upstreams that were
+    /// both offered the flow.
+    std::uint32_t acknowledged = 0;
+};
+
+/// What a companion knows of a flow at its upstream.
+enum class ownership : std::uint8_t
+{
+    absent,    ///< The upstream does not hold the flow.
+    uncertain, ///< The companion has not seen the upstream's whole life.
+    owned
+};
+
+/// Answer to owner_query.
+struct owner_answer
+{
+    flow_ends flow;
+    ownership answer = ownership::absent;
+};
+
+/// A caller's packet that belongs to a flow of another upstream.
+struct packet_returned
+{
+    bytes packet;
+};
+
+/// Every control message of the layer-4 path.
+using flow_message = std::variant<
+    entry_hello,
+    companion_report,
+    flow_opened,
+    flow_refused,
+    owner_query,
+    owner_answer,
+    packet_returned>;
+
+} // namespace masticslip
--- /dev/null
+++ b/include/masticslip/flow/flow_packet.hpp
@@ -0,0 +1,77 @@
+#pragma once
+/// Packets of layer-4 flows as the decision cores see them.
+///
+/// The contents are opaque: only the head is decoded, by a codec outside the
+/// core, and `raw` is what is sent on.
+
+#include "masticslip/core/messages.hpp"
+#include "masticslip/core/types.hpp"
+
+#include <cstdint>
+
+namespace masticslip
+{
+
+/// The two ends of a flow: the caller, and the address that it called.
+struct flow_ends
+{
+    endpoint caller;
+    endpoint target;
+
+    auto operator<=>(const flow_ends&) const = default;
+};
+
+/// Returns a well-distributed hash. Thread-safe.
+std::uint64_t hash_flow_ends(const flow_ends& flow);
+
+/// Formats as `caller>target`, the id of a flow in logs.
+std::string to_string(const flow_ends& flow);
+
+/// Markings of one packet.
+struct packet_flags
+{
+    bool opens = false;        ///< First packet of an end (SYN).
+    bool acknowledges = false; ///< The field `acknowledged` holds (ACK).
+    bool closes = false;       ///< The sender has no more data (FIN).
+    bool resets = false;       ///< The flow is given up (RST).
+    bool bounced = false;      ///< Sent back by an upstream that has no such
+                               ///< flow or cannot accept it.
+};
+
+/// Who wrote a packet.
+enum class packet_origin : std::uint8_t
+{
+    caller,
+    upstream
+};
+
+/// One decoded packet; `raw` refers to the receive buffer and is valid only
+/// during the call.
+struct flow_packet
+{
+    flow_ends flow;
+    packet_origin origin = packet_origin::caller;
+    packet_flags flags;
+    std::uint32_t sequence = 0;
+    std::uint32_t acknowledged = 0;
+    std::uint16_t payload_size = 0;
+    byte_view raw;
+
+    /// True for the opening packet of a caller.
+    [[nodiscard]] bool is_opening() const
+    {
+        return this->flags.opens && !this->flags.acknowledges;
+    }
+};
+
+} // namespace masticslip
+
+template <>
+struct std::hash<masticslip::flow_ends>
+{
+    using is_avalanching = void;
+    std::size_t operator()(const masticslip::flow_ends& flow) const
+    {
+        return masticslip::hash_flow_ends(flow);
+    }
+};
--- /dev/null
+++ b/include/masticslip/flow/policy.hpp
@@ -0,0 +1,72 @@
+#pragma once
+/// What operators want, at one revision: the configuration with its withdrawn
+/// failure domains, indexed for the packet path.
+///
+/// Every process applies only policies with a higher revision than the one in
+/// force, so that a change never reverts.
+
+#include "masticslip/core/configuration.hpp"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include <cstdint>
+
+namespace masticslip
+{
+
+/// Immutable after construction; concurrent reads are safe.
+class policy
+{
+public:
+    /// A policy that allows nothing, older than any other.
+    policy() = default;
+
+    /// `revision` orders policies: the store's revision of the last change.
+    policy(std::uint64_t revision, configuration value);
+
+    [[nodiscard]] std::uint64_t revision() const
+    {
+        return this->number;
+    }
+
+    [[nodiscard]] bool is_known() const
+    {
+        return this->number != 0;
+    }
+
+    [[nodiscard]] const configuration& value() const
+    {
+        return this->document;
+    }
+
+    /// The route of a called address, or null. Valid as long as the policy.
+    [[nodiscard]] const route_definition*
+    find_route(const endpoint& target) const;
+
+    /// The service with this id, or null. Valid as long as the policy.
+    [[nodiscard]] const service_definition* find_service(service_id id) const
+    {
+        return this->document.find_service(id);
+    }
+
+    /// Flows without packets for this long may be forgotten.
+    [[nodiscard]] std::chrono::milliseconds idle_limit() const
+    {
+        return this->document.flow_idle_limit;
+    }
+
+private:
+    struct endpoint_hash
+    {
+        std::size_t operator()(const endpoint& value) const
+        {
+            return hash_pair(value.packed(), 0);
+        }
+    };
+
+    std::uint64_t number = 0;
+    configuration document;
+    boost::unordered_flat_map<endpoint, std::uint32_t, endpoint_hash> routes;
+};
+
+} // namespace masticslip
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -3,7 +3,9 @@
 #include "json_reader.hpp"
 
 #include <algorithm>
+#include <array>
 #include <limits>
+#include <set>
 
 namespace masticslip
 {
@@ -19,25 +21,70 @@
 constexpr std::uint64_t max_choice_width = 5;
 constexpr std::uint64_t max_in_flight_limit = 1000;
 constexpr std::uint64_t max_flows_limit = 1'000'000;
+constexpr std::uint64_t max_cold_rate = 1'000'000;
+constexpr std::uint64_t max_time_limit_ms = 86'400'000;
+constexpr std::uint64_t max_priority = 1'000;
+/// Names of request_kind in the order of its values.
+constexpr std::array<std::string_view, 3> request_kind_names{
+    "safe", "unsafe", "upload"};
 
 std::string item_path(std::string_view list, std::size_t index)
 {
     return "$." + std::string(list) + "[" + std::to_string(index) + "]";
 }
 
-service_definition read_service(
-    const json::value& value, const std::string& path, failure_reason& reason)
+endpoint read_address(json_reader& reader)
 {
-    json_reader reader(value, path, reason);
-    service_definition result;
-    result.name = reader.text("name", true);
     const std::string address = reader.text("address", true);
     const auto parsed = parse_endpoint(address);
     if (!parsed || parsed->port == 0)
     {
         reader.fail("address", "'" + address + "' is not an IPv4:port address");
     }
-    result.address = parsed.value_or(endpoint{});
+    return parsed.value_or(endpoint{});
+}
+
+std::chrono::milliseconds
+read_milliseconds(json_reader& reader, std::string_view key)
+{
+    return std::chrono::milliseconds(
+        reader.number(key, 0, max_time_limit_ms, 0));
+}
+
+route_definition read_route(
+    const json::value& value, const std::string& path, failure_reason& reason)
+{
+    json_reader reader(value, path, reason);
+    route_definition result;
+    result.name = reader.text("name", true);
+    result.address = read_address(reader);
+    result.service = reader.text("service", true);
+    const std::string kind = reader.text("kind", true);
+    const auto found =
+        std::find(request_kind_names.begin(), request_kind_names.end(), kind);
+    if (found == request_kind_names.end())
+    {
+        reader.fail("kind", "must be \"safe\", \"unsafe\" or \"upload\"");
+    }
+    else
+    {
+        result.kind =
+            static_cast<request_kind>(found - request_kind_names.begin());
+    }
+    result.time_limit = read_milliseconds(reader, "time_limit_ms");
+    result.target_latency = read_milliseconds(reader, "target_latency_ms");
+    result.priority = static_cast<std::uint32_t>(
+        reader.number("priority", 0, max_priority, 0));
+    reader.refuse_unknown_keys();
+    return result;
+}
+
+service_definition read_service(
+    const json::value& value, const std::string& path, failure_reason& reason)
+{
+    json_reader reader(value, path, reason);
+    service_definition result;
+    result.name = reader.text("name", true);
     const std::string protocol = reader.text("protocol", false);
     if (protocol != "" && protocol != "coap" && protocol != "datagram")
     {
@@ -45,6 +92,13 @@
     }
     result.protocol = protocol == "datagram" ? service_protocol::datagram
                                              : service_protocol::coap;
+    const bool is_routed = result.protocol == service_protocol::datagram &&
+                           reader.member("address", false) == nullptr;
+    result.address = is_routed ? endpoint{} : read_address(reader);
+    result.cold_flows_per_second =
+        reader.real("cold_flows_per_second", 0, max_cold_rate, 0);
+    result.max_flows = static_cast<std::uint32_t>(
+        reader.number("max_flows", 0, max_flows_limit, 0));
     reader.refuse_unknown_keys();
     return result;
 }
@@ -174,7 +228,7 @@
                         other.name + "'");
                 return false;
             }
-            if (other.address == item.address)
+            if (other.address == item.address && item.address.port != 0)
             {
                 refuse(
                     reason, path + ".address",
@@ -186,6 +240,31 @@
     return true;
 }
 
+bool check_routes(const configuration& value, failure_reason& reason)
+{
+    std::set<endpoint> addresses;
+    for (std::size_t i = 0; i < value.routes.size(); ++i)
+    {
+        const auto& item = value.routes[i];
+        const std::string path = item_path("routes", i);
+        if (!addresses.insert(item.address).second)
+        {
+            refuse(reason, path + ".address", "already used by another route");
+            return false;
+        }
+        const auto* service = value.find_service(make_service_id(item.service));
+        if (service == nullptr ||
+            service->protocol != service_protocol::datagram)
+        {
+            refuse(
+                reason, path + ".service",
+                "'" + item.service + "' is not a datagram service");
+            return false;
+        }
+    }
+    return true;
+}
+
 bool check_domains(const configuration& value, failure_reason& reason)
 {
     for (std::size_t i = 0; i < value.failure_domains.size(); ++i)
@@ -262,6 +341,13 @@
         result.services.push_back(
             read_service((*services)[i], item_path("services", i), reason));
     }
+    const auto* routes = reader.array("routes", false);
+    for (std::size_t i = 0; routes != nullptr && i < routes->size(); ++i)
+    {
+        result.routes.push_back(
+            read_route((*routes)[i], item_path("routes", i), reason));
+    }
+    result.flow_idle_limit = read_milliseconds(reader, "flow_idle_limit_ms");
     result.failure_domains = read_names(reader, "failure_domains", true);
     result.withdrawn_domains = read_names(reader, "withdrawn_domains", false);
     const auto* presets = reader.array("presets", true);
@@ -304,10 +390,33 @@
 json::object service_to_json(const service_definition& item)
 {
     const bool coap = item.protocol == service_protocol::coap;
+    json::object result{
+        {"name", item.name}, {"protocol", coap ? "coap" : "datagram"}};
+    if (item.address.port != 0)
+    {
+        result["address"] = to_string(item.address);
+    }
+    if (item.cold_flows_per_second > 0)
+    {
+        result["cold_flows_per_second"] = item.cold_flows_per_second;
+    }
+    if (item.max_flows != 0)
+    {
+        result["max_flows"] = item.max_flows;
+    }
+    return result;
+}
+
+json::object route_to_json(const route_definition& item)
+{
     return {
         {"name", item.name},
         {"address", to_string(item.address)},
-        {"protocol", coap ? "coap" : "datagram"}};
+        {"service", item.service},
+        {"kind", request_kind_names.at(static_cast<std::size_t>(item.kind))},
+        {"time_limit_ms", item.time_limit.count()},
+        {"target_latency_ms", item.target_latency.count()},
+        {"priority", item.priority}};
 }
 
 } // namespace
@@ -334,15 +443,14 @@
     return found == this->services.end() ? nullptr : &*found;
 }
 
-std::optional<configuration>
-parse_configuration(std::string_view text, failure_reason& reason)
+std::optional<configuration> parse_configuration(
+    std::string_view text, failure_reason& reason, std::size_t max_size)
 {
     reason = {};
-    if (text.size() > max_document_size)
+    if (text.size() > max_size)
     {
         return refuse(
-            reason, "$",
-            "larger than " + std::to_string(max_document_size) + " bytes");
+            reason, "$", "larger than " + std::to_string(max_size) + " bytes");
     }
     json::error_code error;
     const json::value root = json::parse(text, error);
@@ -361,8 +469,8 @@
 std::optional<configuration>
 check_configuration(configuration value, failure_reason& reason)
 {
-    if (!check_services(value, reason) || !check_domains(value, reason) ||
-        !check_presets(value, reason))
+    if (!check_services(value, reason) || !check_routes(value, reason) ||
+        !check_domains(value, reason) || !check_presets(value, reason))
     {
         return std::nullopt;
     }
@@ -381,7 +489,7 @@
     {
         presets.emplace_back(preset_to_json(item));
     }
-    const json::object root{
+    json::object root{
         {"schema", schema_version},
         {"generation", value.number},
         {"change",
@@ -394,6 +502,19 @@
         {"withdrawn_domains", names_to_json(value.withdrawn_domains)},
         {"presets", presets},
         {"preset_in_force", value.preset_in_force}};
+    if (!value.routes.empty())
+    {
+        json::array routes;
+        for (const auto& item : value.routes)
+        {
+            routes.emplace_back(route_to_json(item));
+        }
+        root["routes"] = std::move(routes);
+    }
+    if (value.flow_idle_limit.count() != 0)
+    {
+        root["flow_idle_limit_ms"] = value.flow_idle_limit.count();
+    }
     return json::serialize(root);
 }
 
--- a/src/core/json_reader.hpp
+++ b/src/core/json_reader.hpp
@@ -90,6 +90,26 @@
         return value;
     }
 
+    /// Reads a number within [low, high] that need not be whole.
+    double real(std::string_view key, double low, double high, double fallback)
+    {
+        const auto* found = this->member(key, false);
+        if (found == nullptr)
+        {
+            return fallback;
+        }
+        boost::json::error_code error;
+        const auto value = found->to_number<double>(error);
+        if (error || !(value >= low && value <= high))
+        {
+            this->fail(
+                key, "must be a number from " + std::to_string(low) + " to " +
+                         std::to_string(high));
+            return fallback;
+        }
+        return value;
+    }
+
     /// Returns an array member, or null.
     const boost::json::array* array(std::string_view key, bool required)
     {
--- a/src/core/result_code.cpp
+++ b/src/core/result_code.cpp
@@ -5,7 +5,7 @@
 namespace masticslip
 {
 
-const std::array<result_code_entry, 29> result_code_table{{
+const std::array<result_code_entry, 33> result_code_table{{
     {result_code::done, "done"},
     {result_code::not_run_echo_required, "not_run_echo_required"},
     {result_code::not_run_overloaded, "not_run_overloaded"},
@@ -14,11 +14,15 @@
     {result_code::not_run_upstream_refused, "not_run_upstream_refused"},
     {result_code::not_run_upload_interrupted, "not_run_upload_interrupted"},
     {result_code::not_run_no_configuration, "not_run_no_configuration"},
+    {result_code::not_run_no_route, "not_run_no_route"},
+    {result_code::not_run_upstream_leaving, "not_run_upstream_leaving"},
+    {result_code::not_run_upstream_cold, "not_run_upstream_cold"},
     {result_code::unknown_companion_gone, "unknown_companion_gone"},
     {result_code::unknown_record_expired, "unknown_record_expired"},
     {result_code::unknown_upstream_silent, "unknown_upstream_silent"},
     {result_code::unknown_domain_withdrawn, "unknown_domain_withdrawn"},
     {result_code::unknown_stopping, "unknown_stopping"},
+    {result_code::unknown_flow_lost, "unknown_flow_lost"},
     {result_code::watch_ended_domain_withdrawn, "watch_ended_domain_withdrawn"},
     {result_code::watch_ended_stopping, "watch_ended_stopping"},
     {result_code::config_accepted, "config_accepted"},
--- /dev/null
+++ b/src/flow/cold_start_limit.cpp
@@ -0,0 +1,40 @@
+#include "masticslip/flow/cold_start_limit.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace masticslip
+{
+
+namespace
+{
+
+/// Length of the window; a margin covers the way from here to the upstream.
+constexpr std::chrono::milliseconds window{1'050};
+
+} // namespace
+
+std::uint32_t cold_start_limit::room(time_point now, double per_second)
+{
+    this->expire(now);
+    const auto allowed =
+        static_cast<std::size_t>(std::max(1.0, std::floor(per_second)));
+    const std::size_t used = this->passed.size();
+    return static_cast<std::uint32_t>(used < allowed ? allowed - used : 0);
+}
+
+void cold_start_limit::note(time_point now)
+{
+    this->expire(now);
+    this->passed.push_back(now);
+}
+
+void cold_start_limit::expire(time_point now)
+{
+    while (!this->passed.empty() && now - this->passed.front() >= window)
+    {
+        this->passed.pop_front();
+    }
+}
+
+} // namespace masticslip
--- /dev/null
+++ b/src/flow/companion_directory.cpp
@@ -0,0 +1,98 @@
+#include "masticslip/flow/companion_directory.hpp"
+
+#include <algorithm>
+
+namespace masticslip
+{
+
+directory_member&
+companion_directory::member(const companion_record& record, bool& is_new)
+{
+    const service_id service = make_service_id(record.service);
+    const auto found = this->members.find(record.id);
+    is_new = found == this->members.end() || found->second.service != service;
+    if (!is_new)
+    {
+        return found->second;
+    }
+    // An address may serve another service than before.
+    this->erase(record.id);
+    directory_member& created = this->members[record.id];
+    created.service = service;
+    auto& ids = this->by_service[service];
+    ids.insert(std::lower_bound(ids.begin(), ids.end(), record.id), record.id);
+    return created;
+}
+
+bool companion_directory::on_listed(const companion_record& record)
+{
+    bool is_new = false;
+    directory_member& target = this->member(record, is_new);
+    target.record = record;
+    target.is_listed = true;
+    return is_new;
+}
+
+void companion_directory::on_unlisted(instance_id id)
+{
+    if (directory_member* target = this->find(id))
+    {
+        target->is_listed = false;
+    }
+}
+
+bool companion_directory::on_report(
+    time_point now, instance_id id, const companion_report& report)
+{
+    bool is_new = false;
+    const companion_record record{
+        id, report.name, report.service, report.failure_domain,
+        report.packet_address};
+    directory_member& target = this->member(record, is_new);
+    target.record = record;
+    target.is_stopping = report.is_stopping;
+    target.has_left = report.has_left;
+    this->on_load(now, id, report.load);
+    return is_new;
+}
+
+void companion_directory::on_load(
+    time_point now, instance_id id, const upstream_load& load)
+{
+    if (directory_member* target = this->find(id))
+    {
+        target->load = load;
+        target->heard = now;
+        target->own_placements = 0;
+        target->unanswered = 0;
+        target->is_silent = false;
+    }
+}
+
+directory_member* companion_directory::find(instance_id id)
+{
+    const auto found = this->members.find(id);
+    return found == this->members.end() ? nullptr : &found->second;
+}
+
+const std::vector<instance_id>&
+companion_directory::of_service(service_id service) const
+{
+    static const std::vector<instance_id> none;
+    const auto found = this->by_service.find(service);
+    return found == this->by_service.end() ? none : found->second;
+}
+
+void companion_directory::erase(instance_id id)
+{
+    const auto found = this->members.find(id);
+    if (found == this->members.end())
+    {
+        return;
+    }
+    auto& ids = this->by_service[found->second.service];
+    ids.erase(std::remove(ids.begin(), ids.end(), id), ids.end());
+    this->members.erase(found);
+}
+
+} // namespace masticslip
--- /dev/null
+++ b/src/flow/upstream_monitor.cpp
@@ -0,0 +1,135 @@
+#include "masticslip/flow/upstream_monitor.hpp"
+
+namespace masticslip
+{
+
+namespace
+{
+
+/// Statuses that may be missed before the upstream counts as down, in
+/// intervals. One delayed and one lost status must not matter.
+constexpr double overdue_intervals = 2.5;
+/// Packets without any answer for this long make an upstream silent. Longer
+/// than the upstream's longest regular pause before an acknowledgement.
+constexpr std::chrono::milliseconds silence_limit{400};
+/// Number of the first status of a start.
+constexpr std::uint64_t first_sequence = 1;
+
+} // namespace
+
+status_outcome
+upstream_monitor::on_status(const upstream_status& status, time_point now)
+{
+    const bool is_known = this->newest.has_value();
+    const bool is_same =
+        is_known && this->newest->incarnation == status.incarnation;
+    if (is_same &&
+        (this->departed || status.sequence <= this->newest->sequence))
+    {
+        return status_outcome::outdated;
+    }
+    if (is_known && !is_same &&
+        status.incarnation.started <= this->newest->incarnation.started)
+    {
+        return status_outcome::outdated;
+    }
+    if (!is_same)
+    {
+        this->whole_life_seen = is_known || status.sequence <= first_sequence;
+        this->unanswered_since.reset();
+    }
+    this->newest = status;
+    this->status_at = now;
+    this->cold_until = now + status.cold_for;
+    this->departed = false;
+    this->trusted = true;
+    this->cold_until_status = false;
+    return status_outcome::accepted;
+}
+
+bool upstream_monitor::on_departure(const upstream_incarnation& incarnation)
+{
+    if (this->newest && this->newest->incarnation.id != incarnation.id)
+    {
+        return false;
+    }
+    if (this->newest && incarnation.started.count() != 0 &&
+        this->newest->incarnation.started > incarnation.started)
+    {
+        return false;
+    }
+    if (!this->newest)
+    {
+        this->newest.emplace();
+        this->newest->incarnation = incarnation;
+    }
+    this->departed = true;
+    return true;
+}
+
+void upstream_monitor::on_packet_sent(time_point now)
+{
+    if (!this->unanswered_since)
+    {
+        this->unanswered_since = now;
+    }
+}
+
+void upstream_monitor::on_packet_received(time_point now)
+{
+    if (this->is_silent(now))
+    {
+        // It may have started anew, cold, and not yet said so.
+        this->cold_until_status = true;
+    }
+    this->unanswered_since.reset();
+}
+
+void upstream_monitor::distrust()
+{
+    this->trusted = false;
+}
+
+void upstream_monitor::assume_cold()
+{
+    this->cold_until_status = true;
+}
+
+result_code upstream_monitor::refusal(time_point now) const
+{
+    if (this->departed || (this->newest && this->newest->is_draining))
+    {
+        return result_code::not_run_upstream_leaving;
+    }
+    if (!this->newest || !this->trusted || this->is_status_overdue(now) ||
+        this->is_silent(now))
+    {
+        return result_code::not_run_no_upstream;
+    }
+    return result_code::done;
+}
+
+bool upstream_monitor::is_cold(time_point now) const
+{
+    return this->cold_until_status || now < this->cold_until;
+}
+
+bool upstream_monitor::is_silent(time_point now) const
+{
+    return this->unanswered_since &&
+           now - *this->unanswered_since > silence_limit;
+}
+
+bool upstream_monitor::is_lost(time_point now) const
+{
+    return this->is_silent(now) && this->is_status_overdue(now);
+}
+
+bool upstream_monitor::is_status_overdue(time_point now) const
+{
+    const auto limit = std::chrono::duration_cast<duration>(
+        this->limits.status_interval * overdue_intervals);
+    return now - this->status_at > limit;
+}
+
+} // namespace masticslip
--- a/src/net/datagram_socket.cpp
+++ b/src/net/datagram_socket.cpp
@@ -74,7 +74,7 @@
 void datagram_socket::start(handler handler)
 {
     this->on_datagram = std::move(handler);
-    this->slots.resize(batch * slot_size);
+    this->slots.resize(batch * this->slot_size);
     this->wait();
 }
 
@@ -128,7 +128,8 @@
     std::array<sockaddr_in, batch> senders{};
     for (std::size_t i = 0; i < batch; ++i)
     {
-        vectors[i] = {this->slots.data() + i * slot_size, slot_size};
+        vectors[i] = {
+            this->slots.data() + i * this->slot_size, this->slot_size};
         headers[i].msg_hdr.msg_iov = &vectors[i];
         headers[i].msg_hdr.msg_iovlen = 1;
         headers[i].msg_hdr.msg_name = &senders[i];
@@ -141,7 +142,8 @@
         const auto index = static_cast<std::size_t>(i);
         this->on_datagram(
             from_native(senders[index]),
-            {this->slots.data() + index * slot_size, headers[index].msg_len});
+            {this->slots.data() + index * this->slot_size,
+             headers[index].msg_len});
         if (!this->socket.is_open())
         {
             return false;
--- a/src/net/datagram_socket.hpp
+++ b/src/net/datagram_socket.hpp
@@ -26,7 +26,10 @@
 public:
     using handler = std::function<void(const endpoint&, byte_view)>;
 
-    explicit datagram_socket(boost::asio::io_context& context) : socket(context)
+    /// Datagrams beyond `max_size` bytes are cut.
+    explicit datagram_socket(
+        boost::asio::io_context& context, std::size_t max_size = 65'536)
+        : socket(context), slot_size(max_size)
     {
     }
 
@@ -51,12 +54,12 @@
 
 private:
     static constexpr std::size_t batch = 32;
-    static constexpr std::size_t slot_size = 65'536;
 
     void wait();
     bool receive_batch();
 
     boost::asio::ip::udp::socket socket;
+    std::size_t slot_size;
     handler on_datagram;
     std::vector<std::uint8_t> slots;
 };
--- /dev/null
+++ b/src/node/companion_node.cpp
@@ -0,0 +1,216 @@
+#include "companion_node.hpp"
+
+#include "member_document.hpp"
+#include "telemetry/log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace masticslip
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::size_t max_datagram_size = 2'048;
+/// Time for the last reports to leave the process.
+constexpr std::chrono::milliseconds stop_pause{20};
+/// Longest wait for the store when the key of a departed upstream is removed.
+constexpr std::chrono::milliseconds leave_limit{1'500};
+
+companion_flow_settings
+core_settings(const node_settings& settings, const companion_settings& role)
+{
+    companion_flow_settings result;
+    result.name = settings.name;
+    result.service = role.service;
+    result.failure_domain = settings.failure_domain;
+    result.packet_address = settings.packet_address;
+    result.status_interval = role.status_interval;
+    result.flow_age_limit = settings.flow_age_limit;
+    return result;
+}
+
+} // namespace
+
+companion_node::companion_node(
+    asio::io_context& context,
+    node_settings values,
+    companion_settings role_settings,
+    const packet_codec& codec,
+    key_value_store& store)
+    : flow_node(context, std::move(values), codec, store),
+      role(std::move(role_settings)),
+      core(core_settings(this->settings, this->role), *this, this->telemetry),
+      upstream(context, max_datagram_size),
+      registration(
+          context,
+          store,
+          member_prefix() + this->settings.name,
+          this->settings.min_lease),
+      exit_timer(context)
+{
+}
+
+bool companion_node::open_role(std::string& reason)
+{
+    if (!this->upstream.open(this->role.upstream_packets, reason))
+    {
+        return false;
+    }
+    this->upstream.start([this](const endpoint& sender, byte_view datagram)
+                         { this->on_upstream_datagram(sender, datagram); });
+    this->registration.start(serialize_member(
+        {this->self(), this->settings.name, this->role.service,
+         this->settings.failure_domain, this->settings.packet_address}));
+    return true;
+}
+
+bool companion_node::is_ready() const
+{
+    return !this->stopping && this->core.current_policy().is_known();
+}
+
+void companion_node::stop()
+{
+    if (this->stopping)
+    {
+        return;
+    }
+    this->stopping = true;
+    this->core.on_stop(node_now());
+    if (this->core.upstream().has_departed())
+    {
+        asio::co_spawn(this->context, this->leave(), asio::detached);
+        this->exit_timer.expires_after(leave_limit);
+    }
+    else
+    {
+        this->exit_timer.expires_after(stop_pause);
+    }
+    this->exit_timer.async_wait([this](const boost::system::error_code&)
+                                { this->context.stop(); });
+}
+
+asio::awaitable<void> companion_node::leave()
+{
+    co_await this->registration.withdraw();
+    this->context.stop();
+}
+
+bool companion_node::on_status(const upstream_status& status)
+{
+    const bool accepted = this->core.on_status(node_now(), status);
+    this->schedule();
+    return accepted;
+}
+
+bool companion_node::on_departure(const upstream_incarnation& incarnation)
+{
+    const bool accepted = this->core.on_departure(node_now(), incarnation);
+    this->schedule();
+    return accepted;
+}
+
+void companion_node::on_packet(const endpoint& sender, byte_view datagram)
+{
+    failure_reason reason;
+    const auto packet =
+        this->codec.decode(datagram, packet_origin::caller, reason);
+    if (!packet)
+    {
+        this->note_malformed("entries", reason);
+        return;
+    }
+    this->core.on_caller_packet(node_now(), {sender.packed()}, *packet);
+}
+
+void companion_node::on_upstream_datagram(const endpoint&, byte_view datagram)
+{
+    failure_reason reason;
+    const auto packet =
+        this->codec.decode(datagram, packet_origin::upstream, reason);
+    if (!packet)
+    {
+        this->note_malformed("upstream", reason);
+        return;
+    }
+    this->core.on_upstream_packet(node_now(), *packet);
+}
+
+void companion_node::on_control(
+    time_point now, instance_id sender, const flow_message& message)
+{
+    this->core.on_message(now, sender, message);
+}
+
+void companion_node::on_tick(time_point now)
+{
+    this->core.on_tick(now);
+}
+
+std::optional<time_point> companion_node::next_deadline() const
+{
+    return std::nullopt;
+}
+
+std::chrono::milliseconds companion_node::tick_interval() const
+{
+    return companion_flow_core::tick_interval;
+}
+
+std::shared_ptr<const policy> companion_node::shared_policy() const
+{
+    return this->core.shared_policy();
+}
+
+void companion_node::take_policy(
+    time_point now, std::shared_ptr<const policy> value)
+{
+    this->core.on_policy(now, std::move(value));
+}
+
+void companion_node::update_gauges(time_point now)
+{
+    const upstream_load load = this->core.load(now);
+    this->telemetry.set_gauge(
+        "flows", static_cast<double>(this->core.flow_count()));
+    this->telemetry.set_gauge("open_flows", load.open_flows);
+    this->telemetry.set_gauge("in_flight", load.in_flight);
+    this->telemetry.set_gauge(
+        "upstream_refusal", static_cast<double>(load.refusal));
+}
+
+void companion_node::send_to_upstream(byte_view packet)
+{
+    this->upstream.send(this->role.upstream_address, packet);
+}
+
+void companion_node::send_to_caller(const endpoint& caller, byte_view packet)
+{
+    this->packets.send({caller.address, this->settings.caller_port}, packet);
+}
+
+void companion_node::reset_caller(const flow_ends& flow, std::uint32_t sequence)
+{
+    this->send_reset(flow, sequence);
+}
+
+void companion_node::send(instance_id to, const flow_message& message)
+{
+    this->send_control(to, message);
+}
+
+void companion_node::fetch_policy(instance_id from)
+{
+    this->request_policy(from);
+}
+
+void companion_node::on_not_listed()
+{
+    this->registration.on_missing();
+}
+
+} // namespace masticslip
--- /dev/null
+++ b/src/node/companion_node.hpp
@@ -0,0 +1,65 @@
+#pragma once
+/// The companion role on the layer-4 path: adapter between sockets, store and
+/// companion_flow_core.
+
+#include "flow_node.hpp"
+#include "masticslip/flow/companion_flow_core.hpp"
+#include "member_registration.hpp"
+
+namespace masticslip
+{
+
+/// Not thread-safe.
+class companion_node final : public flow_node, private companion_flow_output
+{
+public:
+    /// All references must outlive the node.
+    companion_node(
+        boost::asio::io_context& context,
+        node_settings settings,
+        companion_settings role_settings,
+        const packet_codec& codec,
+        key_value_store& store);
+
+    [[nodiscard]] bool is_ready() const override;
+    void stop() override;
+
+    /// The upstream's status, or its departure. True if it was accepted, false
+    /// if it is outdated.
+    bool on_status(const upstream_status& status);
+    bool on_departure(const upstream_incarnation& incarnation);
+
+private:
+    bool open_role(std::string& reason) override;
+    void on_packet(const endpoint& sender, byte_view datagram) override;
+    void on_control(
+        time_point now,
+        instance_id sender,
+        const flow_message& message) override;
+    void on_tick(time_point now) override;
+    [[nodiscard]] std::optional<time_point> next_deadline() const override;
+    [[nodiscard]] std::chrono::milliseconds tick_interval() const override;
+    [[nodiscard]] std::shared_ptr<const policy> shared_policy() const override;
+    void
+    take_policy(time_point now, std::shared_ptr<const policy> value) override;
+    void update_gauges(time_point now) override;
+
+    void send_to_upstream(byte_view packet) override;
+    void send_to_caller(const endpoint& caller, byte_view packet) override;
+    void reset_caller(const flow_ends& flow, std::uint32_t sequence) override;
+    void send(instance_id to, const flow_message& message) override;
+    void fetch_policy(instance_id from) override;
+    void on_not_listed() override;
+
+    void on_upstream_datagram(const endpoint& sender, byte_view datagram);
+    boost::asio::awaitable<void> leave();
+
+    companion_settings role;
+    companion_flow_core core;
+    datagram_socket upstream;
+    member_registration registration;
+    boost::asio::steady_timer exit_timer;
+    bool stopping = false;
+};
+
+} // namespace masticslip
--- /dev/null
+++ b/src/node/entry_node.cpp
@@ -0,0 +1,228 @@
+#include "entry_node.hpp"
+
+#include "member_document.hpp"
+#include "telemetry/log.hpp"
+
+namespace masticslip
+{
+
+namespace
+{
+
+/// How long one wait for operators' changes lasts; also the time after which
+/// a silent connection is noticed, so it stays below the time within which a
+/// configuration must be in force.
+constexpr std::chrono::milliseconds operator_wait{2'500};
+/// The same for the list of companions, which also speak for themselves.
+constexpr std::chrono::milliseconds member_wait{5'000};
+/// An entry that stops goes on forwarding until the fabric has noticed.
+constexpr std::chrono::milliseconds linger{2'000};
+/// Memory that one remembered flow may take, with slack in the table.
+constexpr std::size_t bytes_per_flow = 128;
+/// Share of the memory limit for remembered flows, as its divisor.
+constexpr std::size_t flow_memory_divisor = 4;
+constexpr std::size_t default_memory_mb = 64;
+constexpr std::size_t bytes_per_megabyte = std::size_t{1024} * 1024;
+
+entry_flow_settings core_settings(const node_settings& settings)
+{
+    const std::size_t memory =
+        settings.memory_mb == 0 ? default_memory_mb : settings.memory_mb;
+    return {
+        settings.failure_domain,
+        memory * bytes_per_megabyte / flow_memory_divisor / bytes_per_flow};
+}
+
+} // namespace
+
+entry_node::entry_node(
+    boost::asio::io_context& context,
+    node_settings values,
+    const packet_codec& codec,
+    key_value_store& store,
+    const policy_source& policies)
+    : flow_node(context, std::move(values), codec, store),
+      core(core_settings(this->settings), *this, this->telemetry),
+      policies(policies), members(
+                              context,
+                              store,
+                              member_prefix(),
+                              member_wait,
+                              [this](const auto& items, std::uint64_t)
+                              { this->on_members(items); }),
+      operators(
+          context,
+          store,
+          policies.prefix(),
+          operator_wait,
+          [this](const auto& items, std::uint64_t revision)
+          { this->on_operator_values(items, revision); }),
+      exit_timer(context)
+{
+}
+
+bool entry_node::open_role(std::string&)
+{
+    this->operators.start();
+    this->members.start();
+    return true;
+}
+
+bool entry_node::is_ready() const
+{
+    return !this->stopping && this->core.is_ready();
+}
+
+void entry_node::stop()
+{
+    if (this->stopping)
+    {
+        return;
+    }
+    this->stopping = true;
+    this->exit_timer.expires_after(linger);
+    this->exit_timer.async_wait([this](const boost::system::error_code&)
+                                { this->context.stop(); });
+}
+
+void entry_node::on_packet(const endpoint&, byte_view datagram)
+{
+    failure_reason reason;
+    const auto packet =
+        this->codec.decode(datagram, packet_origin::caller, reason);
+    if (!packet)
+    {
+        this->note_malformed("callers", reason);
+        return;
+    }
+    this->core.on_caller_packet(node_now(), *packet);
+    if (packet->is_opening())
+    {
+        this->schedule();
+    }
+}
+
+void entry_node::on_control(
+    time_point now, instance_id sender, const flow_message& message)
+{
+    const auto* returned = std::get_if<packet_returned>(&message);
+    if (returned == nullptr)
+    {
+        this->core.on_message(now, sender, message);
+        return;
+    }
+    failure_reason reason;
+    const auto marked =
+        this->codec.decode(returned->packet, packet_origin::caller, reason);
+    if (!marked)
+    {
+        this->note_malformed("returned", reason);
+        return;
+    }
+    const bytes written = this->codec.as_written(returned->packet);
+    const auto packet =
+        this->codec.decode(written, packet_origin::caller, reason);
+    this->core.on_returned_packet(now, sender, *packet);
+}
+
+void entry_node::on_tick(time_point now)
+{
+    this->core.on_tick(now);
+}
+
+std::optional<time_point> entry_node::next_deadline() const
+{
+    return this->core.next_deadline();
+}
+
+std::chrono::milliseconds entry_node::tick_interval() const
+{
+    return entry_flow_core::tick_interval;
+}
+
+std::shared_ptr<const policy> entry_node::shared_policy() const
+{
+    return this->core.shared_policy();
+}
+
+void entry_node::take_policy(
+    time_point now, std::shared_ptr<const policy> value)
+{
+    this->core.on_policy(now, std::move(value));
+}
+
+void entry_node::update_gauges(time_point)
+{
+    this->telemetry.set_gauge(
+        "flows", static_cast<double>(this->core.flow_count()));
+    this->telemetry.set_gauge(
+        "companions",
+        static_cast<double>(this->core.companions().all().size()));
+}
+
+void entry_node::send_packet(const endpoint& companion, byte_view packet)
+{
+    // From the control address, so that the companion knows the sender's id.
+    this->control.send(companion, packet);
+}
+
+void entry_node::reset_caller(const flow_ends& flow, std::uint32_t sequence)
+{
+    this->send_reset(flow, sequence);
+}
+
+void entry_node::send(instance_id to, const flow_message& message)
+{
+    this->send_control(to, message);
+}
+
+void entry_node::fetch_policy(instance_id from)
+{
+    this->request_policy(from);
+}
+
+void entry_node::on_members(const std::map<std::string, std::string>& values)
+{
+    const time_point now = node_now();
+    std::set<instance_id> current;
+    for (const auto& [key, text] : values)
+    {
+        failure_reason reason;
+        const auto record = parse_member(text, reason);
+        if (!record)
+        {
+            log_line(log_level::warning, "member_refused")
+                .field("key", key)
+                .field("reason", reason.text);
+            continue;
+        }
+        current.insert(record->id);
+        this->core.on_listed(now, *record);
+    }
+    for (const instance_id id : this->listed)
+    {
+        if (!current.contains(id))
+        {
+            this->core.on_unlisted(now, id);
+        }
+    }
+    this->listed = std::move(current);
+}
+
+void entry_node::on_operator_values(
+    const std::map<std::string, std::string>& values, std::uint64_t revision)
+{
+    failure_reason reason;
+    auto value = this->policies.translate(values, reason);
+    if (!value)
+    {
+        log_line(log_level::error, "policy_refused")
+            .field("revision", revision)
+            .field("reason", reason.text);
+        return;
+    }
+    this->core.on_policy(
+        node_now(), std::make_shared<policy>(revision, std::move(*value)));
+}
+
+} // namespace masticslip
--- /dev/null
+++ b/src/node/entry_node.hpp
@@ -0,0 +1,64 @@
+#pragma once
+/// The entry role on the layer-4 path: adapter between sockets, store and
+/// entry_flow_core.
+
+#include "flow_node.hpp"
+#include "masticslip/flow/entry_flow_core.hpp"
+#include "policy_source.hpp"
+#include "store_mirror.hpp"
+
+#include <set>
+
+namespace masticslip
+{
+
+/// Not thread-safe.
+class entry_node final : public flow_node, private entry_flow_output
+{
+public:
+    /// All references must outlive the node.
+    entry_node(
+        boost::asio::io_context& context,
+        node_settings settings,
+        const packet_codec& codec,
+        key_value_store& store,
+        const policy_source& policies);
+
+    [[nodiscard]] bool is_ready() const override;
+    void stop() override;
+
+private:
+    bool open_role(std::string& reason) override;
+    void on_packet(const endpoint& sender, byte_view datagram) override;
+    void on_control(
+        time_point now,
+        instance_id sender,
+        const flow_message& message) override;
+    void on_tick(time_point now) override;
+    [[nodiscard]] std::optional<time_point> next_deadline() const override;
+    [[nodiscard]] std::chrono::milliseconds tick_interval() const override;
+    [[nodiscard]] std::shared_ptr<const policy> shared_policy() const override;
+    void
+    take_policy(time_point now, std::shared_ptr<const policy> value) override;
+    void update_gauges(time_point now) override;
+
+    void send_packet(const endpoint& companion, byte_view packet) override;
+    void reset_caller(const flow_ends& flow, std::uint32_t sequence) override;
+    void send(instance_id to, const flow_message& message) override;
+    void fetch_policy(instance_id from) override;
+
+    void on_members(const std::map<std::string, std::string>& values);
+    void on_operator_values(
+        const std::map<std::string, std::string>& values,
+        std::uint64_t revision);
+
+    entry_flow_core core;
+    const policy_source& policies;
+    store_mirror members;
+    store_mirror operators;
+    std::set<instance_id> listed;
+    boost::asio::steady_timer exit_timer;
+    bool stopping = false;
+};
+
+} // namespace masticslip
--- /dev/null
+++ b/src/node/flow_node.cpp
@@ -0,0 +1,238 @@
+#include "flow_node.hpp"
+
+#include "masticslip/wire/flow_message_codec.hpp"
+#include "telemetry/log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <charconv>
+
+namespace masticslip
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+/// Largest datagram on the packet path: a head and 1,200 bytes, with room for
+/// a returned packet's envelope.
+constexpr std::size_t max_datagram_size = 2'048;
+constexpr char policy_path[] = "/policy";
+constexpr char metrics_path[] = "/metrics";
+/// Largest policy document that is taken from a peer.
+constexpr std::size_t max_policy_size = std::size_t{8} * 1024 * 1024;
+constexpr std::chrono::milliseconds policy_timeout{1'000};
+/// Malformed datagrams are logged at most this often.
+constexpr std::chrono::seconds malformed_log_interval{1};
+
+} // namespace
+
+std::string member_prefix()
+{
+    return "masticslip/companions/";
+}
+
+time_point node_now()
+{
+    return time_point(std::chrono::duration_cast<duration>(
+        std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+flow_node::flow_node(
+    asio::io_context& context,
+    node_settings values,
+    const packet_codec& codec,
+    key_value_store& store)
+    : context(context), settings(std::move(values)), codec(codec), store(store),
+      packets(context, max_datagram_size), control(context, max_datagram_size),
+      peers(
+          context,
+          [this](http_request request, boost::beast::tcp_stream&)
+              -> asio::awaitable<std::optional<http_response>>
+          { co_return this->answer_peer(request); }),
+      metrics(
+          context,
+          [this](http_request request, boost::beast::tcp_stream&)
+              -> asio::awaitable<std::optional<http_response>>
+          {
+              if (request.target() != metrics_path)
+              {
+                  co_return make_response(
+                      request, http::status::not_found, "no such page\n",
+                      "text/plain");
+              }
+              co_return make_response(
+                  request, http::status::ok, this->metrics_text(),
+                  "text/plain; version=0.0.4");
+          }),
+      timer(context)
+{
+}
+
+bool flow_node::start(std::string& reason)
+{
+    const bool opened =
+        this->packets.open(this->settings.packet_address, reason) &&
+        this->control.open(this->settings.control_address, reason) &&
+        this->peers.open(this->settings.control_address, reason) &&
+        (!this->settings.metrics_address ||
+         this->metrics.open(*this->settings.metrics_address, reason)) &&
+        this->open_role(reason);
+    if (!opened)
+    {
+        return false;
+    }
+    this->packets.start([this](const endpoint& sender, byte_view datagram)
+                        { this->on_packet(sender, datagram); });
+    this->control.start([this](const endpoint& sender, byte_view datagram)
+                        { this->on_control_datagram(sender, datagram); });
+    this->schedule();
+    return true;
+}
+
+std::string flow_node::metrics_text()
+{
+    this->update_gauges(node_now());
+    this->telemetry.set_gauge(
+        "store_calls", static_cast<double>(this->store.call_count()));
+    this->telemetry.set_gauge(
+        "policy_revision",
+        static_cast<double>(this->shared_policy()->revision()));
+    return this->telemetry.prometheus();
+}
+
+void flow_node::send_control(instance_id to, const flow_message& message)
+{
+    this->control.send(to.address(), encode_flow_message(message));
+}
+
+void flow_node::send_reset(const flow_ends& flow, std::uint32_t sequence)
+{
+    this->packets.send(
+        {flow.caller.address, this->settings.caller_port},
+        this->codec.encode_reset(flow, sequence));
+}
+
+void flow_node::on_control_datagram(const endpoint& sender, byte_view datagram)
+{
+    failure_reason reason;
+    const auto message = decode_flow_message(datagram, reason);
+    if (!message)
+    {
+        this->note_malformed("control", reason);
+        return;
+    }
+    this->on_control(node_now(), {sender.packed()}, *message);
+    this->schedule();
+}
+
+void flow_node::note_malformed(const char* where, const failure_reason& reason)
+{
+    this->telemetry.count("malformed_datagrams_total");
+    const time_point now = node_now();
+    if (now - this->malformed_logged >= malformed_log_interval)
+    {
+        this->malformed_logged = now;
+        log_line(log_level::warning, "datagram_refused")
+            .field("where", where)
+            .field("code", to_string(reason.code))
+            .field("reason", reason.text);
+    }
+}
+
+void flow_node::schedule()
+{
+    const time_point now = node_now();
+    if (this->next_tick <= now)
+    {
+        this->next_tick = now + this->tick_interval();
+    }
+    const auto deadline = this->next_deadline();
+    const time_point due =
+        deadline && *deadline < this->next_tick ? *deadline : this->next_tick;
+    if (this->armed_for > now && this->armed_for <= due)
+    {
+        return;
+    }
+    this->armed_for = due;
+    this->timer.expires_after(due - now);
+    this->timer.async_wait(
+        [this](const boost::system::error_code& error)
+        {
+            if (error)
+            {
+                return;
+            }
+            this->armed_for = {};
+            this->on_tick(node_now());
+            this->schedule();
+        });
+}
+
+void flow_node::request_policy(instance_id from)
+{
+    if (this->is_fetching)
+    {
+        return;
+    }
+    this->is_fetching = true;
+    asio::co_spawn(this->context, this->fetch_policy(from), asio::detached);
+}
+
+asio::awaitable<void> flow_node::fetch_policy(instance_id from)
+{
+    http_call call;
+    call.server = from.address();
+    call.target = policy_path;
+    call.timeout = policy_timeout;
+    std::string problem;
+    const auto response = co_await send_http(call, problem);
+    this->is_fetching = false;
+    if (!response || response->result() != http::status::ok)
+    {
+        log_line(log_level::warning, "policy_fetch_failed")
+            .field("peer", to_string(from.address()))
+            .field("reason", problem);
+        co_return;
+    }
+    const std::string_view body = response->body();
+    std::uint64_t revision = 0;
+    const char* end = body.data() + body.size();
+    const auto [stop, error] = std::from_chars(body.data(), end, revision);
+    failure_reason reason;
+    std::optional<configuration> value;
+    if (error == std::errc{} && stop != end)
+    {
+        value = parse_configuration(
+            {stop + 1, static_cast<std::size_t>(end - stop - 1)}, reason,
+            max_policy_size);
+    }
+    if (!value)
+    {
+        log_line(log_level::error, "policy_refused")
+            .field("peer", to_string(from.address()))
+            .field("reason", reason.text);
+        co_return;
+    }
+    this->take_policy(
+        node_now(), std::make_shared<policy>(revision, std::move(*value)));
+}
+
+http_response flow_node::answer_peer(const http_request& request) const
+{
+    const auto current = this->shared_policy();
+    if (request.target() != policy_path || !current->is_known())
+    {
+        return make_response(
+            request, http::status::not_found, "no such page\n", "text/plain");
+    }
+    return make_response(
+        request, http::status::ok,
+        std::to_string(current->revision()) + "\n" +
+            serialize_configuration(current->value()));
+}
+
+} // namespace masticslip
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -26,12 +26,12 @@
     return level >= current_threshold.load(std::memory_order_relaxed);
 }
 
-void initialize_log(log_level threshold)
+void initialize_log(log_level threshold, std::ostream& target)
 {
     current_threshold = threshold;
     logging::add_common_attributes();
     logging::add_console_log(
-        std::clog,
+        target,
         logging::keywords::format =
             (expressions::stream
              << "time="
--- a/src/telemetry/log.hpp
+++ b/src/telemetry/log.hpp
@@ -7,6 +7,7 @@
 
 #include <concepts>
 #include <cstdint>
+#include <iostream>
 #include <string>
 #include <string_view>
 
@@ -15,8 +16,8 @@
 
 using log_level = boost::log::trivial::severity_level;
 
-/// Sends log lines at or above a level to standard error. Call once.
-void initialize_log(log_level threshold);
+/// Sends log lines at or above a level to a stream. Call once.
+void initialize_log(log_level threshold, std::ostream& target = std::clog);
 
 /// True if lines of this level are written. Thread-safe.
 bool is_log_enabled(log_level level);
--- /dev/null
+++ b/src/wire/flow_message_codec.cpp
@@ -0,0 +1,186 @@
+#include "masticslip/wire/flow_message_codec.hpp"
+
+#include "message_archive.hpp"
+
+#include <istream>
+#include <ostream>
+
+namespace masticslip
+{
+
+namespace
+{
+
+using namespace detail;
+
+/// Largest control datagram: a returned packet and its envelope.
+constexpr std::size_t max_flow_datagram = 2'048;
+
+template <class Archive, class Value>
+void endpoint_field(Archive& archive, Value& value)
+{
+    archive.plain(value.address);
+    archive.plain(value.port);
+}
+
+template <class Archive, class Value>
+void ends_field(Archive& archive, Value& value)
+{
+    endpoint_field(archive, value.caller);
+    endpoint_field(archive, value.target);
+}
+
+template <class Archive, class Value>
+void code_field(Archive& archive, Value& value)
+{
+    if constexpr (Archive::is_reading)
+    {
+        std::uint16_t raw = 0;
+        archive.plain(raw);
+        value = static_cast<result_code>(raw);
+        if (to_string(value) == "invalid")
+        {
+            throw bad_message("unknown result code");
+        }
+    }
+    else
+    {
+        archive.plain(static_cast<std::uint16_t>(value));
+    }
+}
+
+template <class Archive, class Value>
+void load_field(Archive& archive, Value& value)
+{
+    archive.plain(value.in_flight);
+    archive.plain(value.open_flows);
+    archive.plain(value.concurrency);
+    code_field(archive, value.refusal);
+    archive.plain(value.is_cold);
+    archive.plain(value.cold_room);
+}
+
+template <class Archive, is_message<entry_hello> Message>
+void flow_fields(Archive& archive, Message& message)
+{
+    archive.plain(message.policy_revision);
+    archive.plain(message.is_listed);
+}
+
+template <class Archive, is_message<companion_report> Message>
+void flow_fields(Archive& archive, Message& message)
+{
+    archive.text(message.name, max_name);
+    archive.text(message.service, max_name);
+    archive.text(message.failure_domain, max_name);
+    endpoint_field(archive, message.packet_address);
+    load_field(archive, message.load);
+    archive.plain(message.policy_revision);
+    archive.plain(message.is_stopping);
+    archive.plain(message.has_left);
+}
+
+template <class Archive, is_message<flow_opened> Message>
+void flow_fields(Archive& archive, Message& message)
+{
+    ends_field(archive, message.flow);
+    archive.plain(message.upstream_sequence);
+    load_field(archive, message.load);
+}
+
+template <class Archive, is_message<flow_refused> Message>
+void flow_fields(Archive& archive, Message& message)
+{
+    ends_field(archive, message.flow);
+    code_field(archive, message.reason);
+    load_field(archive, message.load);
+}
+
+template <class Archive, is_message<owner_query> Message>
+void flow_fields(Archive& archive, Message& message)
+{
+    ends_field(archive, message.flow);
+    archive.plain(message.acknowledged);
+}
+
+template <class Archive, is_message<owner_answer> Message>
+void flow_fields(Archive& archive, Message& message)
+{
+    ends_field(archive, message.flow);
+    enumeration(archive, message.answer, ownership::owned);
+}
+
+template <class Archive, is_message<packet_returned> Message>
+void flow_fields(Archive& archive, Message& message)
+{
+    bytes_field(archive, message.packet);
+}
+
+template <std::size_t Index = 0>
+flow_message read_kind(field_reader& reader, std::uint8_t kind)
+{
+    if constexpr (Index == std::variant_size_v<flow_message>)
+    {
+        throw bad_message("unknown kind of message");
+    }
+    else if (kind == Index)
+    {
+        std::variant_alternative_t<Index, flow_message> message;
+        flow_fields(reader, message);
+        return message;
+    }
+    else
+    {
+        return read_kind<Index + 1>(reader, kind);
+    }
+}
+
+} // namespace
+
+bytes encode_flow_message(const flow_message& message)
+{
+    bytes datagram(max_flow_datagram);
+    write_buffer buffer;
+    buffer.reset(datagram);
+    std::ostream stream(&buffer);
+    field_writer writer(stream);
+    writer.plain(flow_protocol_version);
+    writer.plain(static_cast<std::uint8_t>(message.index()));
+    std::visit(
+        [&writer](const auto& fields) { flow_fields(writer, fields); },
+        message);
+    datagram.resize(buffer.written());
+    return datagram;
+}
+
+std::optional<flow_message>
+decode_flow_message(byte_view datagram, failure_reason& reason)
+{
+    reason = {};
+    read_buffer buffer;
+    buffer.reset(datagram);
+    std::istream stream(&buffer);
+    try
+    {
+        field_reader reader(stream, buffer);
+        std::uint8_t version = 0;
+        reader.plain(version);
+        if (version != flow_protocol_version)
+        {
+            reason = {
+                result_code::dropped_foreign_version,
+                "protocol version " + std::to_string(version)};
+            return std::nullopt;
+        }
+        std::uint8_t kind = 0;
+        reader.plain(kind);
+        return read_kind(reader, kind);
+    }
+    catch (const std::exception& error)
+    {
+        reason = {result_code::dropped_malformed, error.what()};
+        return std::nullopt;
+    }
+}
+
+} // namespace masticslip
