Take a cold rate of zero as no stated limit; test the layer-4 cores

Cause: after a loss of all power every upstream is cold, and the limit of a cold upstream was at least one flow a second but, with a configured rate of zero, never more: some 600 requests of 36 to 38 s were refused. Ruled out: slow starts (processes are up 1.5 s after the fault) and missing policies.

Change: a rate of zero states no limit; a cold upstream then gets twice its slots in flight. The case of the table test failed first (1 instead of 10).

--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -26,6 +26,8 @@
 /// Requests in flight for each slot of the upstream beyond which new flows go
 /// elsewhere: the upstream's own queue holds about three times its slots.
 constexpr std::uint32_t in_flight_per_slot = 4;
+/// The same for a cold upstream, which works more slowly.
+constexpr std::uint32_t cold_in_flight_per_slot = 2;
 /// Entries that were silent for this long are forgotten.
 constexpr std::chrono::seconds entry_memory{30};
 /// An entry that has not said hello for this long gets reports all the same:
@@ -536,7 +538,14 @@
             make_service_id(this->settings.service));
         const double rate =
             service == nullptr ? 0 : service->cold_flows_per_second;
-        result.cold_room = this->cold_limit.room(now, rate);
+        const std::uint32_t bearable =
+            result.concurrency * cold_in_flight_per_slot;
+        const std::uint32_t slots_room =
+            bearable - std::min(bearable, this->in_flight);
+        // A rate of zero states no limit.
+        result.cold_room =
+            rate > 0 ? std::min(slots_room, this->cold_limit.room(now, rate))
+                     : slots_room;
     }
     const bool withdrawn = this->policy_in_force->value().is_withdrawn(
         this->settings.failure_domain);
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -216,13 +216,37 @@
     auto value = this->policies.translate(values, reason);
     if (!value)
     {
-        log_line(log_level::error, "policy_refused")
+        const bool is_absent = reason.code == result_code::config_not_found;
+        log_line(
+            is_absent ? log_level::info : log_level::error, "policy_refused")
             .field("revision", revision)
             .field("reason", reason.text);
         return;
     }
+    this->log_policy(revision, *value);
     this->core.on_policy(
         node_now(), std::make_shared<policy>(revision, std::move(*value)));
 }
 
+void entry_node::log_policy(
+    std::uint64_t revision, const configuration& value) const
+{
+    log_line line(log_level::info, "policy_read");
+    line.field("revision", revision)
+        .field("version", value.number)
+        .field("routes", value.routes.size())
+        .field("idle_limit_ms", value.flow_idle_limit.count());
+    for (const auto& service : value.services)
+    {
+        line.field("service", service.name)
+            .field(
+                "cold_flows_per_second",
+                std::to_string(service.cold_flows_per_second));
+    }
+    for (const auto& domain : value.withdrawn_domains)
+    {
+        line.field("withdrawn", domain);
+    }
+}
+
 } // namespace masticslip
--- a/src/node/entry_node.hpp
+++ b/src/node/entry_node.hpp
@@ -51,6 +51,7 @@
     void on_operator_values(
         const std::map<std::string, std::string>& values,
         std::uint64_t revision);
+    void log_policy(std::uint64_t revision, const configuration& value) const;
 
     entry_flow_core core;
     const policy_source& policies;
--- /dev/null
+++ b/src/wire/flow_message_codec_test.cpp
@@ -0,0 +1,70 @@
+// Round trips and refusals of the layer-4 control messages.
+
+#include "masticslip/wire/flow_message_codec.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace masticslip;
+
+namespace
+{
+
+const flow_ends flow{{1, 2}, {3, 4}};
+const upstream_load load{3, 40, 5, result_code::not_run_upstream_cold, true, 2};
+
+const std::vector<flow_message> messages{
+    entry_hello{77, false},
+    companion_report{
+        "side-1", "meetups", "kgl-nyr", {5, 6}, load, 78, true, true},
+    flow_opened{flow, 99, load},
+    flow_refused{flow, result_code::not_run_overloaded, load},
+    owner_query{flow, 12},
+    owner_answer{flow, ownership::uncertain},
+    packet_returned{bytes(1'232, 7)}};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(flow_message_codec)
+
+BOOST_DATA_TEST_CASE(
+    encodes_what_it_decodes,
+    boost::unit_test::data::xrange(messages.size()),
+    index)
+{
+    failure_reason reason;
+    const bytes datagram = encode_flow_message(messages[index]);
+    const auto decoded = decode_flow_message(datagram, reason);
+    BOOST_REQUIRE_MESSAGE(decoded.has_value(), reason.text);
+    BOOST_TEST(decoded->index() == index);
+    BOOST_TEST(
+        encode_flow_message(*decoded) == datagram,
+        boost::test_tools::per_element());
+}
+
+BOOST_DATA_TEST_CASE(
+    refuses_every_cut_datagram,
+    boost::unit_test::data::xrange(messages.size()),
+    index)
+{
+    const bytes datagram = encode_flow_message(messages[index]);
+    for (std::size_t size = 0; size < datagram.size(); ++size)
+    {
+        failure_reason reason;
+        const bytes cut(datagram.begin(), datagram.begin() + size);
+        BOOST_TEST(
+            !decode_flow_message(cut, reason),
+            "accepted " << size << " of " << datagram.size() << " bytes");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(refuses_a_foreign_version)
+{
+    bytes datagram = encode_flow_message(entry_hello{});
+    datagram[1] = 99;
+    failure_reason reason;
+    BOOST_TEST(!decode_flow_message(datagram, reason));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/flow/companion_flow_core_test.cpp
@@ -0,0 +1,417 @@
+// Gate, ownership and accounting of a companion on the layer-4 path.
+
+#include "recorded_outputs.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace masticslip;
+using namespace masticslip::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr instance_id entry{endpoint{0x0A010021, 7120}.packed()};
+constexpr std::uint32_t upstream_sequence = 5'000;
+
+upstream_status ready_status(std::uint64_t sequence)
+{
+    upstream_status status;
+    status.incarnation = {"i-1", 1'000'000ms};
+    status.sequence = sequence;
+    status.service = "meetups";
+    status.failure_domain = "kgl-nyr";
+    status.concurrency = 5;
+    return status;
+}
+
+struct companion_fixture
+{
+    companion_fixture()
+        : core(
+              {"side-1",
+               "meetups",
+               "kgl-nyr",
+               {0x0A010023, 8232},
+               1'000ms,
+               60s},
+              output,
+              events)
+    {
+    }
+
+    /// A policy and a ready upstream whose whole life was seen.
+    void make_ready()
+    {
+        this->core.on_policy(at(0ms), test_policy(7));
+        this->core.on_status(at(0ms), ready_status(1));
+    }
+
+    /// Opens a flow up to the caller's first data.
+    void open(const flow_ends& flow, time_point now)
+    {
+        this->core.on_caller_packet(now, entry, opening_packet(flow));
+        this->core.on_upstream_packet(
+            now, accepting_packet(flow, upstream_sequence));
+        this->core.on_caller_packet(
+            now, entry, data_packet(flow, 1'001, upstream_sequence + 1));
+    }
+
+    /// Reason of the only refusal, or `done`.
+    result_code refusal() const
+    {
+        const auto refused = messages_of<flow_refused>(this->output.sent);
+        return refused.empty() ? result_code::done : refused.back().reason;
+    }
+
+    recorded_companion output;
+    recorded_events events;
+    companion_flow_core core;
+};
+
+flow_packet bounced(flow_packet packet)
+{
+    packet.flags.bounced = true;
+    return packet;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(companion_flow)
+
+struct gate_case
+{
+    const char* name;
+    bool has_policy;
+    bool has_status;
+    bool is_draining;
+    bool is_withdrawn;
+    endpoint target;
+    result_code expected;
+};
+
+std::ostream& operator<<(std::ostream& stream, const gate_case& value)
+{
+    return stream << value.name;
+}
+
+const std::vector<gate_case> gate_cases{
+    {"accepts", true, true, false, false, test_target, result_code::done},
+    {"needs_a_policy", false, true, false, false, test_target,
+     result_code::not_run_no_configuration},
+    {"needs_a_status", true, false, false, false, test_target,
+     result_code::not_run_no_upstream},
+    {"refuses_while_draining", true, true, true, false, test_target,
+     result_code::not_run_upstream_leaving},
+    {"refuses_in_a_withdrawn_domain", true, true, false, true, test_target,
+     result_code::not_run_domain_withdrawn},
+    {"refuses_another_service", true, true, false, false, other_target,
+     result_code::dropped_wrong_service},
+    {"refuses_an_unknown_address",
+     true,
+     true,
+     false,
+     false,
+     {1, 1},
+     result_code::not_run_no_route}};
+
+BOOST_DATA_TEST_CASE_F(
+    companion_fixture,
+    admits_an_opening_only_if_everything_allows_it,
+    boost::unit_test::data::make(gate_cases),
+    item)
+{
+    if (item.has_policy)
+    {
+        const std::vector<std::string> withdrawn{"kgl-nyr"};
+        core.on_policy(
+            at(0ms),
+            item.is_withdrawn ? test_policy(7, withdrawn) : test_policy(7));
+    }
+    if (item.has_status)
+    {
+        upstream_status status = ready_status(1);
+        status.is_draining = item.is_draining;
+        core.on_status(at(0ms), status);
+    }
+    flow_ends flow = test_flow(1);
+    flow.target = item.target;
+
+    core.on_caller_packet(at(10ms), entry, opening_packet(flow));
+
+    BOOST_TEST(to_string(refusal()) == to_string(item.expected));
+    BOOST_TEST(
+        output.to_upstream == (item.expected == result_code::done ? 1U : 0U));
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    an_older_policy_never_replaces_a_newer, companion_fixture)
+{
+    core.on_policy(at(0ms), test_policy(9, {"kgl-nyr"}));
+    core.on_policy(at(1ms), test_policy(8));
+    BOOST_TEST(core.current_policy().revision() == 9U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_late_status_does_not_undo_a_drain, companion_fixture)
+{
+    make_ready();
+    upstream_status draining = ready_status(5);
+    draining.is_draining = true;
+    core.on_status(at(10ms), draining);
+
+    BOOST_TEST(!core.on_status(at(20ms), ready_status(4)));
+
+    core.on_caller_packet(at(30ms), entry, opening_packet(test_flow(1)));
+    BOOST_TEST(
+        to_string(refusal()) ==
+        to_string(result_code::not_run_upstream_leaving));
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_status_of_a_former_start_is_outdated, companion_fixture)
+{
+    make_ready();
+    upstream_status reborn = ready_status(1);
+    reborn.incarnation.started = 2'000'000ms;
+    BOOST_TEST(core.on_status(at(10ms), reborn));
+    BOOST_TEST(!core.on_status(at(20ms), ready_status(9)));
+    BOOST_TEST(
+        core.upstream().status()->incarnation.started.count() == 2'000'000);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    no_opening_passes_after_the_departure, companion_fixture)
+{
+    make_ready();
+    BOOST_TEST(core.on_departure(at(10ms), {"i-1", 0ms}));
+    core.on_caller_packet(at(20ms), entry, opening_packet(test_flow(1)));
+    BOOST_TEST(output.to_upstream == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    packets_of_open_flows_pass_while_openings_are_refused, companion_fixture)
+{
+    make_ready();
+    open(test_flow(1), at(10ms));
+    upstream_status draining = ready_status(2);
+    draining.is_draining = true;
+    core.on_status(at(20ms), draining);
+    const std::size_t before = output.to_upstream;
+
+    core.on_caller_packet(
+        at(30ms), entry, data_packet(test_flow(1), 1'101, 5'001));
+
+    BOOST_TEST(output.to_upstream == before + 1);
+}
+
+struct cold_case
+{
+    double rate;
+    std::size_t expected;
+};
+
+std::ostream& operator<<(std::ostream& stream, const cold_case& value)
+{
+    return stream << value.rate << " a second";
+}
+
+// A rate of zero states no limit: what the upstream's slots bear counts.
+const std::vector<cold_case> cold_cases{
+    {4.0, 4}, {0.5, 1}, {9.9, 9}, {0.0, 10}};
+
+BOOST_DATA_TEST_CASE_F(
+    companion_fixture,
+    a_cold_upstream_gets_no_more_than_it_bears,
+    boost::unit_test::data::make(cold_cases),
+    item)
+{
+    core.on_policy(at(0ms), test_policy(7, {}, item.rate));
+    upstream_status status = ready_status(1);
+    status.cold_for = 2'000ms;
+    core.on_status(at(0ms), status);
+
+    for (std::uint16_t i = 0; i < 40; ++i)
+    {
+        core.on_caller_packet(
+            at(i * 20ms), entry, opening_packet(test_flow(i)));
+    }
+
+    BOOST_TEST(output.to_upstream == item.expected);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_returned_domain_is_cold_until_the_next_status, companion_fixture)
+{
+    core.on_policy(at(0ms), test_policy(7, {"kgl-nyr"}, 1.0));
+    core.on_status(at(0ms), ready_status(1));
+    core.on_policy(at(10ms), test_policy(8, {}, 1.0));
+    BOOST_TEST(core.load(at(20ms)).is_cold);
+    core.on_status(at(30ms), ready_status(2));
+    BOOST_TEST(!core.load(at(40ms)).is_cold);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_silent_upstream_gets_no_new_flow, companion_fixture)
+{
+    make_ready();
+    core.on_caller_packet(at(10ms), entry, opening_packet(test_flow(1)));
+    core.on_caller_packet(at(500ms), entry, opening_packet(test_flow(2)));
+    BOOST_TEST(output.to_upstream == 1U);
+    BOOST_TEST(
+        to_string(refusal()) == to_string(result_code::not_run_no_upstream));
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    an_unknown_flow_is_returned_without_reaching_the_upstream,
+    companion_fixture)
+{
+    make_ready();
+    core.on_caller_packet(
+        at(10ms), entry, data_packet(test_flow(1), 1'001, 77));
+    BOOST_TEST(output.to_upstream == 0U);
+    BOOST_TEST(messages_of<packet_returned>(output.sent).size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_restarted_companion_asks_the_upstream_about_an_unknown_flow,
+    companion_fixture)
+{
+    core.on_policy(at(0ms), test_policy(7));
+    core.on_status(at(0ms), ready_status(40));
+    const flow_packet packet = data_packet(test_flow(1), 1'001, 77);
+    core.on_caller_packet(at(10ms), entry, packet);
+    BOOST_TEST(output.to_upstream == 1U);
+
+    core.on_upstream_packet(at(11ms), bounced(packet));
+
+    BOOST_TEST(messages_of<packet_returned>(output.sent).size() == 1U);
+    BOOST_TEST(output.resets.empty());
+    core.on_caller_packet(at(12ms), entry, packet);
+    BOOST_TEST(output.to_upstream == 1U, "asked only once");
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_flow_that_the_upstream_lost_is_reset, companion_fixture)
+{
+    make_ready();
+    open(test_flow(1), at(10ms));
+    core.on_upstream_packet(
+        at(20ms), bounced(data_packet(test_flow(1), 1'101, 5'001)));
+    BOOST_TEST(output.resets.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_packet_that_acknowledges_another_upstream_is_returned, companion_fixture)
+{
+    make_ready();
+    core.on_caller_packet(at(10ms), entry, opening_packet(test_flow(1)));
+    core.on_upstream_packet(
+        at(11ms), accepting_packet(test_flow(1), upstream_sequence));
+    core.on_caller_packet(
+        at(12ms), entry, data_packet(test_flow(1), 1'001, 900'000));
+    BOOST_TEST(output.to_upstream == 1U);
+    BOOST_TEST(messages_of<packet_returned>(output.sent).size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_bounced_opening_is_refused_to_the_entry, companion_fixture)
+{
+    make_ready();
+    const flow_packet packet = opening_packet(test_flow(1));
+    core.on_caller_packet(at(10ms), entry, packet);
+    core.on_upstream_packet(at(11ms), bounced(packet));
+    BOOST_TEST(
+        to_string(refusal()) ==
+        to_string(result_code::not_run_upstream_refused));
+    BOOST_TEST(core.load(at(12ms)).in_flight == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    in_flight_counts_requests_without_answer, companion_fixture)
+{
+    make_ready();
+    open(test_flow(1), at(10ms));
+    BOOST_TEST(core.load(at(11ms)).in_flight == 1U);
+    flow_packet answer = data_packet(test_flow(1), 5'001, 1'101);
+    answer.origin = packet_origin::upstream;
+    core.on_upstream_packet(at(40ms), answer);
+    BOOST_TEST(core.load(at(41ms)).in_flight == 0U);
+    BOOST_TEST(core.load(at(41ms)).open_flows == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_new_start_of_the_upstream_clears_what_was_in_flight, companion_fixture)
+{
+    make_ready();
+    open(test_flow(1), at(10ms));
+    upstream_status reborn = ready_status(1);
+    reborn.incarnation.started = 2'000'000ms;
+    core.on_status(at(20ms), reborn);
+    BOOST_TEST(core.load(at(21ms)).in_flight == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_process_that_stood_still_waits_for_a_status_and_a_policy,
+    companion_fixture)
+{
+    make_ready();
+    core.on_caller_packet(at(5'000ms), entry, opening_packet(test_flow(1)));
+    BOOST_TEST(output.to_upstream == 0U);
+    core.on_message(at(5'010ms), entry, entry_hello{7, true});
+    core.on_status(at(5'020ms), ready_status(2));
+    core.on_caller_packet(at(5'030ms), entry, opening_packet(test_flow(2)));
+    BOOST_TEST(output.to_upstream == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_hello_with_a_newer_policy_is_followed_up, companion_fixture)
+{
+    make_ready();
+    core.on_message(at(10ms), entry, entry_hello{9, true});
+    BOOST_TEST(output.fetches.size() == 1U);
+    core.on_message(at(10ms), entry, entry_hello{7, false});
+    BOOST_TEST(output.fetches.size() == 1U);
+    BOOST_TEST(output.not_listed == 1U);
+}
+
+struct ownership_case
+{
+    const char* name;
+    bool whole_life_seen;
+    bool is_open;
+    std::uint32_t acknowledged;
+    ownership expected;
+};
+
+std::ostream& operator<<(std::ostream& stream, const ownership_case& value)
+{
+    return stream << value.name;
+}
+
+const std::vector<ownership_case> ownership_cases{
+    {"open_here", true, true, 5'001, ownership::owned},
+    {"never_seen", true, false, 5'001, ownership::absent},
+    {"perhaps_before_the_restart", false, false, 5'001, ownership::uncertain}};
+
+BOOST_DATA_TEST_CASE_F(
+    companion_fixture,
+    tells_what_it_knows_of_a_flow,
+    boost::unit_test::data::make(ownership_cases),
+    item)
+{
+    core.on_policy(at(0ms), test_policy(7));
+    core.on_status(at(0ms), ready_status(item.whole_life_seen ? 1 : 50));
+    if (item.is_open)
+    {
+        open(test_flow(1), at(10ms));
+    }
+    core.on_message(
+        at(20ms), entry, owner_query{test_flow(1), item.acknowledged});
+    const auto answers = messages_of<owner_answer>(output.sent);
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST(
+        static_cast<int>(answers[0].answer) == static_cast<int>(item.expected));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/flow/entry_flow_core_test.cpp
@@ -0,0 +1,292 @@
+// Placement, retries and look-up of an entry on the layer-4 path.
+
+#include "recorded_outputs.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace masticslip;
+using namespace masticslip::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr instance_id companion(std::uint16_t number)
+{
+    return {endpoint{0x0A020000U + number, 7120}.packed()};
+}
+
+endpoint packets_of(std::uint16_t number)
+{
+    return {0x0A020000U + number, 8232};
+}
+
+companion_report ready_report(std::uint16_t number, std::uint32_t in_flight = 0)
+{
+    companion_report report;
+    report.name = "side-" + std::to_string(number);
+    report.service = "meetups";
+    report.failure_domain = "kgl-nyr";
+    report.packet_address = packets_of(number);
+    report.load.concurrency = 5;
+    report.load.in_flight = in_flight;
+    report.load.refusal = result_code::done;
+    report.policy_revision = 7;
+    return report;
+}
+
+struct entry_fixture
+{
+    entry_fixture() : core({"kgl-nyr", 1'000}, output, events)
+    {
+    }
+
+    /// Companions 1 to `count`, the first the emptiest.
+    void make_ready(std::uint16_t count)
+    {
+        this->core.on_policy(at(0ms), test_policy(7));
+        for (std::uint16_t i = 1; i <= count; ++i)
+        {
+            this->core.on_message(
+                at(0ms), companion(i), ready_report(i, 3U * i));
+        }
+        this->output.sent.clear();
+    }
+
+    recorded_entry output;
+    recorded_events events;
+    entry_flow_core core;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(entry_flow)
+
+BOOST_FIXTURE_TEST_CASE(is_ready_with_a_policy_and_a_companion, entry_fixture)
+{
+    BOOST_TEST(!core.is_ready());
+    core.on_policy(at(0ms), test_policy(7));
+    BOOST_TEST(!core.is_ready());
+    core.on_message(at(0ms), companion(1), ready_report(1));
+    BOOST_TEST(core.is_ready());
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    an_opening_goes_to_the_emptiest_companion, entry_fixture)
+{
+    make_ready(3);
+    core.on_caller_packet(at(1ms), opening_packet(test_flow(1)));
+    BOOST_REQUIRE(output.packets.size() == 1U);
+    BOOST_TEST(to_string(output.packets[0]) == to_string(packets_of(1)));
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    own_placements_count_before_the_next_report, entry_fixture)
+{
+    core.on_policy(at(0ms), test_policy(7));
+    core.on_message(at(0ms), companion(1), ready_report(1));
+    core.on_message(at(0ms), companion(2), ready_report(2));
+    for (std::uint16_t i = 0; i < 10; ++i)
+    {
+        core.on_caller_packet(at(1ms), opening_packet(test_flow(i)));
+    }
+    const auto first =
+        std::count(output.packets.begin(), output.packets.end(), packets_of(1));
+    BOOST_TEST(first == 5);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_refused_opening_goes_to_the_next_companion, entry_fixture)
+{
+    make_ready(2);
+    core.on_caller_packet(at(1ms), opening_packet(test_flow(1)));
+    core.on_message(
+        at(2ms), companion(1),
+        flow_refused{test_flow(1), result_code::not_run_upstream_cold, {}});
+    BOOST_REQUIRE(output.packets.size() == 2U);
+    BOOST_TEST(to_string(output.packets[1]) == to_string(packets_of(2)));
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    the_caller_is_told_at_once_when_all_refuse, entry_fixture)
+{
+    make_ready(2);
+    core.on_caller_packet(at(1ms), opening_packet(test_flow(1)));
+    for (const std::uint16_t i : {1, 2})
+    {
+        core.on_message(
+            at(2ms), companion(i),
+            flow_refused{test_flow(1), result_code::not_run_overloaded, {}});
+    }
+    BOOST_TEST(output.resets.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    no_reset_while_a_companion_that_was_tried_has_not_answered, entry_fixture)
+{
+    make_ready(2);
+    core.on_caller_packet(at(1ms), opening_packet(test_flow(1)));
+    core.on_tick(at(150ms));
+    BOOST_REQUIRE(output.packets.size() == 2U);
+    core.on_message(
+        at(160ms), companion(2),
+        flow_refused{test_flow(1), result_code::not_run_overloaded, {}});
+    BOOST_TEST(output.resets.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    an_opening_without_answer_is_moved_before_the_callers_copy, entry_fixture)
+{
+    make_ready(2);
+    core.on_caller_packet(at(0ms), opening_packet(test_flow(1)));
+    BOOST_REQUIRE(core.next_deadline().has_value());
+    BOOST_TEST((*core.next_deadline() < at(200ms)));
+    core.on_tick(*core.next_deadline());
+    BOOST_TEST(output.packets.size() == 2U);
+    BOOST_TEST(events.count(flow_event_kind::flow_moved) == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    later_packets_follow_the_confirmed_companion, entry_fixture)
+{
+    make_ready(3);
+    core.on_caller_packet(at(1ms), opening_packet(test_flow(1)));
+    core.on_message(at(3ms), companion(2), flow_opened{test_flow(1), 1, {}});
+    core.on_caller_packet(at(4ms), data_packet(test_flow(1), 1'001, 2));
+    BOOST_TEST(to_string(output.packets.back()) == to_string(packets_of(2)));
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    an_unknown_flow_is_looked_up_and_its_packets_are_held, entry_fixture)
+{
+    make_ready(3);
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'001, 2));
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'101, 2));
+    BOOST_TEST(output.packets.empty());
+    BOOST_TEST(messages_of<owner_query>(output.sent).size() == 3U);
+
+    core.on_message(
+        at(2ms), companion(3), owner_answer{test_flow(1), ownership::owned});
+
+    BOOST_TEST(output.packets.size() == 2U);
+    BOOST_TEST(to_string(output.packets[0]) == to_string(packets_of(3)));
+}
+
+struct missing_case
+{
+    const char* name;
+    std::size_t absent;
+    std::size_t resets;
+};
+
+std::ostream& operator<<(std::ostream& stream, const missing_case& value)
+{
+    return stream << value.name;
+}
+
+const std::vector<missing_case> missing_cases{
+    {"all_say_that_it_is_absent", 3, 1}, {"one_does_not_answer", 2, 0}};
+
+BOOST_DATA_TEST_CASE_F(
+    entry_fixture,
+    a_flow_is_reset_only_if_no_upstream_can_hold_it,
+    boost::unit_test::data::make(missing_cases),
+    item)
+{
+    make_ready(3);
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'001, 2));
+    for (std::uint16_t i = 1; i <= item.absent; ++i)
+    {
+        core.on_message(
+            at(2ms), companion(i),
+            owner_answer{test_flow(1), ownership::absent});
+    }
+    core.on_tick(at(200ms));
+    BOOST_TEST(output.resets.size() == item.resets);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    uncertain_companions_are_tried_one_after_the_other, entry_fixture)
+{
+    make_ready(2);
+    const flow_packet packet = data_packet(test_flow(1), 1'001, 2);
+    core.on_caller_packet(at(1ms), packet);
+    for (const std::uint16_t i : {1, 2})
+    {
+        core.on_message(
+            at(2ms), companion(i),
+            owner_answer{test_flow(1), ownership::uncertain});
+    }
+    BOOST_REQUIRE(output.packets.size() == 1U);
+    const bool first_is_one = output.packets[0] == packets_of(1);
+    const std::uint16_t first = first_is_one ? 1 : 2;
+    const std::uint16_t second = first_is_one ? 2 : 1;
+
+    core.on_returned_packet(at(3ms), companion(first), packet);
+    core.on_message(
+        at(4ms), companion(second),
+        owner_answer{test_flow(1), ownership::uncertain});
+
+    BOOST_REQUIRE(output.packets.size() == 2U);
+    BOOST_TEST(to_string(output.packets[1]) == to_string(packets_of(second)));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_dropped_route_is_told_to_the_caller, entry_fixture)
+{
+    make_ready(1);
+    flow_ends flow = test_flow(1);
+    flow.target = {9, 9};
+    core.on_caller_packet(at(1ms), opening_packet(flow));
+    BOOST_TEST(output.resets.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(nothing_is_placed_in_a_withdrawn_domain, entry_fixture)
+{
+    make_ready(2);
+    core.on_policy(at(1ms), test_policy(8, {"kgl-nyr"}));
+    core.on_caller_packet(at(2ms), opening_packet(test_flow(1)));
+    BOOST_TEST(output.packets.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_companion_with_a_newer_policy_is_asked_for_it, entry_fixture)
+{
+    make_ready(1);
+    companion_report report = ready_report(1);
+    report.policy_revision = 9;
+    core.on_message(at(1ms), companion(1), report);
+    BOOST_TEST(output.fetches.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_silent_companion_gets_nothing_until_it_returns, entry_fixture)
+{
+    make_ready(2);
+    for (auto now = 0ms; now < 3'000ms; now += 250ms)
+    {
+        core.on_message(at(now), companion(2), ready_report(2, 9));
+        core.on_tick(at(now));
+    }
+    core.on_caller_packet(at(3'000ms), opening_packet(test_flow(1)));
+    BOOST_REQUIRE(output.packets.size() == 1U);
+    BOOST_TEST(to_string(output.packets[0]) == to_string(packets_of(2)));
+    BOOST_TEST(events.count(flow_event_kind::member_silent) == 1U);
+
+    core.on_message(at(3'010ms), companion(1), ready_report(1));
+    BOOST_TEST(events.count(flow_event_kind::member_returned) == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    an_address_that_serves_another_service_is_a_new_companion, entry_fixture)
+{
+    make_ready(1);
+    companion_report report = ready_report(1);
+    report.service = "papers";
+    core.on_message(at(1ms), companion(1), report);
+    core.on_caller_packet(at(2ms), opening_packet(test_flow(1)));
+    BOOST_TEST(output.packets.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
