Let openings wait for room, reset flows on lost companions, end reservations early

Changes: a companion that has not been heard for 1.5 s is lost: flows there are reset if their requests may be repeated, and look-ups do not wait for it. Openings wait for room up to 0.4 of the route's time limit, unless every companion leaves. A new flow counts as in flight for 50 ms until its caller goes on. Leases last 4 s instead of 9. Ruled out: capacity (7 cold upstreams bear some 730 requests a second, 370 came).

--- a/include/masticslip/flow/companion_directory.hpp
+++ b/include/masticslip/flow/companion_directory.hpp
@@ -31,6 +31,7 @@
     companion_record record;
     service_id service;
     upstream_load load;
+    time_point known_since;
     /// Time of the newest load; zero if none has come.
     time_point heard;
     time_point greeted;
@@ -50,7 +51,7 @@
 {
 public:
     /// The store lists a companion. True if it was unknown.
-    bool on_listed(const companion_record& record);
+    bool on_listed(time_point now, const companion_record& record);
 
     /// The store lists it no longer.
     void on_unlisted(instance_id id);
@@ -63,6 +64,7 @@
     void on_load(time_point now, instance_id id, const upstream_load& load);
 
     [[nodiscard]] directory_member* find(instance_id id);
+    [[nodiscard]] const directory_member* find(instance_id id) const;
 
     /// Companions of a service, in id order.
     [[nodiscard]] const std::vector<instance_id>&
@@ -77,7 +79,8 @@
     void erase(instance_id id);
 
 private:
-    directory_member& member(const companion_record& record, bool& is_new);
+    directory_member&
+    member(time_point now, const companion_record& record, bool& is_new);
 
     std::map<instance_id, directory_member> members;
     std::unordered_map<service_id, std::vector<instance_id>> by_service;
--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -23,6 +23,7 @@
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -136,6 +137,8 @@
         flow_state state = flow_state::half_open;
         bool accepted = false;
         bool awaits_answer = false;
+        /// Counts as in flight before its first request.
+        bool is_reserved = false;
         bool caller_closed = false;
         bool upstream_closed = false;
         instance_id entry;
@@ -146,7 +149,6 @@
         std::uint32_t caller_sequence = 0;
         time_point created;
         time_point last_packet;
-        time_point request_at;
     };
 
     using flow_table =
@@ -167,8 +169,7 @@
     return_packet(time_point now, instance_id entry, const flow_packet& packet);
     void pass_to_upstream(time_point now, const flow_packet& packet);
     static bool acknowledges(const flow_record& flow, std::uint32_t number);
-    void note_caller_data(
-        time_point now, flow_record& flow, const flow_packet& packet);
+    void note_caller_data(flow_record& flow, const flow_packet& packet);
     void on_bounced(time_point now, const flow_packet& packet);
     void
     on_accepted(time_point now, flow_record& flow, const flow_packet& packet);
@@ -183,6 +184,7 @@
     [[nodiscard]] companion_report report(time_point now);
     void send_reports(time_point now);
     void forget_flows(time_point now);
+    void expire_reservations(time_point now);
     void observe(time_point now);
     void emit(
         time_point now,
@@ -192,6 +194,13 @@
         result_code code,
         std::string_view detail = {});
 
+    /// A new flow that counts as in flight before its first request.
+    struct reservation
+    {
+        time_point made;
+        flow_ends flow;
+    };
+
     struct known_entry
     {
         time_point heard;
@@ -206,6 +215,7 @@
     cold_start_limit cold_limit;
     detail::freeze_guard freeze;
     flow_table flows;
+    std::deque<reservation> reservations;
     std::map<instance_id, known_entry> entries;
     std::uint32_t in_flight = 0;
     std::uint32_t open_flows = 0;
--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -135,6 +135,8 @@
         std::vector<instance_id> tried;
         /// Companions tried that have not answered.
         std::uint32_t unanswered = 0;
+        /// No companion has room: tried again until the wait ends.
+        bool is_waiting = false;
         result_code last_refusal = result_code::not_run_no_upstream;
     };
 
@@ -162,7 +164,12 @@
     std::vector<instance_id>
     ranked_companions(service_id service, const flow_ends& flow) const;
     std::vector<placement_candidate>
-    candidates_for(const flow_ends& flow, const opening& item);
+    candidates_for(time_point now, const flow_ends& flow, const opening& item);
+    [[nodiscard]] bool
+    is_lost(time_point now, const directory_member& member) const;
+    [[nodiscard]] bool may_repeat(const flow_ends& flow) const;
+    [[nodiscard]] bool
+    may_wait(time_point now, const flow_ends& flow, const opening& item) const;
     void forward(time_point now, flow_record& flow, const flow_packet& packet);
     void start_look_up(
         time_point now,
@@ -204,6 +211,8 @@
     flow_table<opening> openings;
     flow_table<look_up> look_ups;
     time_point next_sweep;
+    /// Time of the newest report of any companion.
+    time_point last_heard;
     bool heard_companion = false;
 };
 
--- a/src/flow/companion_directory.cpp
+++ b/src/flow/companion_directory.cpp
@@ -5,8 +5,8 @@
 namespace masticslip
 {
 
-directory_member&
-companion_directory::member(const companion_record& record, bool& is_new)
+directory_member& companion_directory::member(
+    time_point now, const companion_record& record, bool& is_new)
 {
     const service_id service = make_service_id(record.service);
     const auto found = this->members.find(record.id);
@@ -19,15 +19,17 @@
     this->erase(record.id);
     directory_member& created = this->members[record.id];
     created.service = service;
+    created.known_since = now;
     auto& ids = this->by_service[service];
     ids.insert(std::lower_bound(ids.begin(), ids.end(), record.id), record.id);
     return created;
 }
 
-bool companion_directory::on_listed(const companion_record& record)
+bool companion_directory::on_listed(
+    time_point now, const companion_record& record)
 {
     bool is_new = false;
-    directory_member& target = this->member(record, is_new);
+    directory_member& target = this->member(now, record, is_new);
     target.record = record;
     target.is_listed = true;
     return is_new;
@@ -48,7 +50,7 @@
     const companion_record record{
         id, report.name, report.service, report.failure_domain,
         report.packet_address};
-    directory_member& target = this->member(record, is_new);
+    directory_member& target = this->member(now, record, is_new);
     target.record = record;
     target.is_stopping = report.is_stopping;
     target.has_left = report.has_left;
@@ -75,6 +77,12 @@
     return found == this->members.end() ? nullptr : &found->second;
 }
 
+const directory_member* companion_directory::find(instance_id id) const
+{
+    const auto found = this->members.find(id);
+    return found == this->members.end() ? nullptr : &found->second;
+}
+
 const std::vector<instance_id>&
 companion_directory::of_service(service_id service) const
 {
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -17,9 +17,10 @@
 /// How long ended and absent flows are remembered, so that late packets do not
 /// start a look-up.
 constexpr std::chrono::seconds ended_limit{5};
-/// A new flow's first request arrives within this time, or it is a flow that
-/// pauses first.
-constexpr std::chrono::milliseconds first_request_limit{200};
+/// A new flow counts as a request in flight for this long before its first
+/// data: several round trips to a caller. After that its caller pauses or has
+/// gone.
+constexpr std::chrono::milliseconds first_request_limit{50};
 /// Sequence numbers may differ by this much from what was last seen: the
 /// largest window of data in flight.
 constexpr std::uint32_t sequence_window = 76'800;
@@ -161,7 +162,7 @@
     {
         this->set_state(flow, flow_state::open);
     }
-    this->note_caller_data(now, flow, packet);
+    this->note_caller_data(flow, packet);
     this->pass_to_upstream(now, packet);
 }
 
@@ -192,9 +193,10 @@
     if (!is_copy)
     {
         flow.created = now;
-        flow.request_at = now;
+        flow.is_reserved = true;
         flow.caller_sequence = packet.sequence;
         this->set_waiting(flow, true);
+        this->reservations.push_back({now, packet.flow});
         this->cold_limit.note(now);
     }
     this->pass_to_upstream(now, packet);
@@ -307,7 +309,7 @@
 }
 
 void companion_flow_core::note_caller_data(
-    time_point now, flow_record& flow, const flow_packet& packet)
+    flow_record& flow, const flow_packet& packet)
 {
     flow.caller_closed = flow.caller_closed || packet.flags.closes;
     if (packet.flags.resets || (flow.caller_closed && flow.upstream_closed))
@@ -326,7 +328,7 @@
     flow.caller_sequence = end;
     if (flow.state == flow_state::open)
     {
-        flow.request_at = now;
+        flow.is_reserved = false;
         this->set_waiting(flow, true);
     }
 }
@@ -522,8 +524,25 @@
     this->output.send(sender, this->report(now));
 }
 
+void companion_flow_core::expire_reservations(time_point now)
+{
+    while (!this->reservations.empty() &&
+           now - this->reservations.front().made > first_request_limit)
+    {
+        const reservation item = this->reservations.front();
+        this->reservations.pop_front();
+        const auto found = this->flows.find(item.flow);
+        if (found != this->flows.end() && found->second.created == item.made &&
+            found->second.is_reserved)
+        {
+            this->set_waiting(found->second, false);
+        }
+    }
+}
+
 upstream_load companion_flow_core::load(time_point now)
 {
+    this->expire_reservations(now);
     upstream_load result;
     result.in_flight = this->in_flight;
     result.open_flows = this->open_flows;
@@ -645,14 +664,6 @@
         {
             limit = ended_limit;
         }
-        const bool pauses = flow.state == flow_state::open &&
-                            flow.caller_sequence != 0 && flow.awaits_answer &&
-                            flow.request_at == flow.created &&
-                            now - flow.created > first_request_limit;
-        if (pauses)
-        {
-            this->set_waiting(flow, false);
-        }
         if (now - flow.last_packet > limit)
         {
             this->set_waiting(flow, false);
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -43,12 +43,38 @@
 /// another failure domain. Uploads carry some forty times the bytes of others.
 constexpr double remote_cost = 0.1;
 constexpr double remote_upload_cost = 1.0;
+/// A companion that has not been heard for this long is lost: longer than a
+/// restart, which takes half a second, and a greeting.
+constexpr std::chrono::milliseconds lost_after{1'500};
+/// While an opening waits for room, it is tried again at this interval.
+constexpr std::chrono::milliseconds wait_interval{20};
+/// A load that shows no room is believed for this long while openings wait.
+constexpr std::chrono::milliseconds full_view_limit{50};
+/// Share of a route's time limit that an opening may wait for room, so that an
+/// answer still comes in time or the caller can turn to something else.
+constexpr double wait_share = 0.4;
+/// Time limit of routes that state none.
+constexpr std::chrono::milliseconds default_time_limit{1'000};
 
 bool contains(const std::vector<instance_id>& ids, instance_id id)
 {
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
+/// What was full some time ago may have room for one flow.
+void assume_room(placement_candidate& candidate)
+{
+    upstream_load& load = candidate.load;
+    if (load.refusal == result_code::not_run_overloaded)
+    {
+        load.refusal = result_code::done;
+    }
+    if (load.cold_room <= candidate.own_placements)
+    {
+        load.cold_room = candidate.own_placements + 1;
+    }
+}
+
 void remove(std::vector<instance_id>& ids, instance_id id)
 {
     ids.erase(std::remove(ids.begin(), ids.end(), id), ids.end());
@@ -80,7 +106,7 @@
 
 void entry_flow_core::on_listed(time_point now, const companion_record& record)
 {
-    if (this->directory.on_listed(record))
+    if (this->directory.on_listed(now, record))
     {
         this->emit(
             now, flow_event_kind::member_joined, {}, record.id,
@@ -141,11 +167,36 @@
         this->start_look_up(now, packet, std::nullopt);
         return;
     }
+    if (packet.payload_size > 0 && this->is_lost(now, *member) &&
+        this->may_repeat(packet.flow))
+    {
+        this->emit(
+            now, flow_event_kind::flow_reset, packet.flow, flow.companion,
+            result_code::unknown_companion_gone);
+        this->output.reset_caller(packet.flow, packet.acknowledged);
+        this->flows.erase(packet.flow);
+        return;
+    }
     flow.last_packet = now;
     flow.closing = flow.closing || packet.flags.closes || packet.flags.resets;
     this->output.send_packet(member->record.packet_address, packet.raw);
 }
 
+bool entry_flow_core::is_lost(
+    time_point now, const directory_member& member) const
+{
+    const time_point since = std::max(member.heard, member.known_since);
+    // An entry that hears nobody is cut off itself and tells nothing.
+    return now - since > lost_after && now - this->last_heard <= lost_after;
+}
+
+bool entry_flow_core::may_repeat(const flow_ends& flow) const
+{
+    const route_definition* route =
+        this->policy_in_force->find_route(flow.target);
+    return route != nullptr && route->kind == request_kind::safe;
+}
+
 void entry_flow_core::on_opening(time_point now, const flow_packet& packet)
 {
     const auto known = this->flows.find(packet.flow);
@@ -186,8 +237,8 @@
     return rank_candidates(hash_flow_ends(flow), members, look_up_width);
 }
 
-std::vector<placement_candidate>
-entry_flow_core::candidates_for(const flow_ends& flow, const opening& item)
+std::vector<placement_candidate> entry_flow_core::candidates_for(
+    time_point now, const flow_ends& flow, const opening& item)
 {
     const route_definition* route =
         this->policy_in_force->find_route(flow.target);
@@ -207,13 +258,19 @@
             !member.is_stopping && !member.has_left && !member.is_silent &&
             member.heard != time_point{} && !contains(item.tried, id) &&
             !this->policy_in_force->value().is_withdrawn(domain);
-        if (is_usable)
+        if (!is_usable)
         {
-            result.push_back(
-                {id, member.load, member.own_placements,
-                 domain != this->settings.failure_domain,
-                 member.unanswered >= suspect_openings});
+            continue;
         }
+        placement_candidate candidate{
+            id, member.load, member.own_placements,
+            domain != this->settings.failure_domain,
+            member.unanswered >= suspect_openings};
+        if (item.is_waiting && now - member.heard > full_view_limit)
+        {
+            assume_room(candidate);
+        }
+        result.push_back(candidate);
     }
     return result;
 }
@@ -221,7 +278,7 @@
 void entry_flow_core::place(
     time_point now, const flow_ends& flow, opening& item)
 {
-    const auto candidates = this->candidates_for(flow, item);
+    const auto candidates = this->candidates_for(now, flow, item);
     const route_definition* route =
         this->policy_in_force->find_route(flow.target);
     const bool is_upload =
@@ -231,11 +288,19 @@
     const auto chosen = item.tried.size() < max_attempts
                             ? choose_candidate(candidates, request)
                             : std::nullopt;
+    if (!chosen && this->may_wait(now, flow, item))
+    {
+        item.is_waiting = true;
+        item.tried.clear();
+        item.deadline = now + wait_interval;
+        return;
+    }
     if (!chosen)
     {
         this->reject(now, flow, item);
         return;
     }
+    item.is_waiting = false;
     const instance_id id = candidates[*chosen].id;
     directory_member& member = *this->directory.find(id);
     ++member.own_placements;
@@ -254,6 +319,37 @@
     this->output.send_packet(member.record.packet_address, item.packet);
 }
 
+bool entry_flow_core::may_wait(
+    time_point now, const flow_ends& flow, const opening& item) const
+{
+    const route_definition* route =
+        this->policy_in_force->find_route(flow.target);
+    if (route == nullptr)
+    {
+        return false;
+    }
+    const auto time_limit =
+        route->time_limit.count() == 0 ? default_time_limit : route->time_limit;
+    if (now - item.first_seen >= time_limit * wait_share)
+    {
+        return false;
+    }
+    const auto& ids =
+        this->directory.of_service(make_service_id(route->service));
+    return std::any_of(
+        ids.begin(), ids.end(),
+        [this, now](instance_id id)
+        {
+            const directory_member& member = *this->directory.find(id);
+            const auto& domain = member.record.failure_domain;
+            const bool leaves =
+                member.has_left ||
+                member.load.refusal == result_code::not_run_upstream_leaving;
+            return !leaves && !this->is_lost(now, member) &&
+                   !this->policy_in_force->value().is_withdrawn(domain);
+        });
+}
+
 void entry_flow_core::reject(
     time_point now, const flow_ends& flow, opening& item)
 {
@@ -310,7 +406,7 @@
         return;
     }
     opening& item = pending->second;
-    if (item.tried.back() == sender)
+    if (!item.tried.empty() && item.tried.back() == sender)
     {
         item.last_refusal = message.reason;
         this->place(now, message.flow, item);
@@ -359,7 +455,12 @@
     const auto ids = this->ranked_companions(item.service, packet.flow);
     for (const instance_id id : ids)
     {
-        if (!contains(item.absent, id) && !this->directory.find(id)->has_left)
+        const directory_member& member = *this->directory.find(id);
+        // No answer is awaited from a lost companion if the caller may repeat
+        // what the flow carries.
+        const bool is_given_up =
+            this->is_lost(now, member) && this->may_repeat(packet.flow);
+        if (!contains(item.absent, id) && !member.has_left && !is_given_up)
         {
             item.pending.push_back(id);
         }
@@ -417,8 +518,8 @@
         this->settle_owner(now, flow, item.uncertain[index], false);
         return;
     }
-    const bool is_gone = item.pending.empty() && !item.absent.empty();
-    const bool tells_caller = is_gone && item.has_payload;
+    const bool tells_caller =
+        item.pending.empty() && !item.absent.empty() && item.has_payload;
     this->emit(
         now,
         tells_caller ? flow_event_kind::flow_reset
@@ -504,6 +605,7 @@
 {
     const directory_member* known = this->directory.find(sender);
     const bool was_silent = known != nullptr && known->is_silent;
+    this->last_heard = now;
     const bool is_new = this->directory.on_report(now, sender, message);
     this->heard_companion = true;
     if (is_new || was_silent)
@@ -602,6 +704,11 @@
     for (const flow_ends& flow : due)
     {
         opening& item = this->openings[flow];
+        if (item.is_waiting)
+        {
+            this->place(now, flow, item);
+            continue;
+        }
         if (directory_member* member = this->directory.find(item.tried.back()))
         {
             ++member->unanswered;
--- a/src/node/member_registration.cpp
+++ b/src/node/member_registration.cpp
@@ -18,8 +18,8 @@
 {
 
 /// Lifetime of the lease: longer than a restart, so that a process which comes
-/// back keeps its place.
-constexpr std::chrono::milliseconds lease_lifetime{9'000};
+/// back keeps its place, and short, so that lost machines are soon unlisted.
+constexpr std::chrono::milliseconds lease_lifetime{4'000};
 /// Renewals in one lifetime.
 constexpr int renewals_per_lifetime = 3;
 /// Pause after a failed call: the key is back within two seconds of the
