--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -167,8 +167,12 @@
         this->start_look_up(now, packet, std::nullopt);
         return;
     }
-    if (packet.payload_size > 0 && this->is_lost(now, *member) &&
-        this->may_repeat(packet.flow))
+    // A companion that stops after its upstream's departure takes no flow
+    // along.
+    const bool is_gone = member->has_left && member->is_stopping;
+    const bool is_given_up =
+        this->is_lost(now, *member) && this->may_repeat(packet.flow);
+    if (packet.payload_size > 0 && (is_gone || is_given_up))
     {
         this->emit(
             now, flow_event_kind::flow_reset, packet.flow, flow.companion,
--- /dev/null
+++ b/standins/flow/event_queue.hpp
@@ -0,0 +1,63 @@
+#pragma once
+/// Virtual time: actions run in order of their times.
+
+#include "masticslip/core/types.hpp"
+
+#include <functional>
+#include <queue>
+#include <vector>
+
+namespace masticslip::standin
+{
+
+/// Not thread-safe.
+class event_queue
+{
+public:
+    using action = std::function<void()>;
+
+    [[nodiscard]] time_point now() const
+    {
+        return this->current;
+    }
+
+    /// Runs an action after a delay; equal times run in order of the calls.
+    void after(duration delay, action work)
+    {
+        this->items.push(
+            {this->current + delay, this->counter++, std::move(work)});
+    }
+
+    /// Runs all actions up to a time.
+    void run_until(time_point end)
+    {
+        while (!this->items.empty() && this->items.top().at <= end)
+        {
+            item next = this->items.top();
+            this->items.pop();
+            this->current = next.at;
+            next.work();
+        }
+        this->current = end;
+    }
+
+private:
+    struct item
+    {
+        time_point at;
+        std::uint64_t order = 0;
+        action work;
+
+        bool operator<(const item& other) const
+        {
+            return at != other.at ? other.at < at : other.order < order;
+        }
+    };
+
+    std::priority_queue<item> items;
+    std::uint64_t counter = 0;
+    /// Later than zero, which stands for "never" in the cores.
+    time_point current{std::chrono::hours(1)};
+};
+
+} // namespace masticslip::standin
--- /dev/null
+++ b/standins/flow/virtual_callers.cpp
@@ -0,0 +1,310 @@
+#include "virtual_callers.hpp"
+
+#include <algorithm>
+
+namespace masticslip::standin
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint32_t first_caller = 0x64400000;
+constexpr std::uint16_t first_port = 1'024;
+constexpr std::uint32_t ports_per_caller = 60'000;
+constexpr std::uint32_t first_sequence = 1'000;
+constexpr std::uint16_t part_size = 1'200;
+/// Times of the copies of an opening packet, and of its end.
+constexpr std::array<std::chrono::milliseconds, 2> copy_times{200ms, 600ms};
+constexpr std::chrono::milliseconds opening_end{1'400};
+constexpr std::chrono::milliseconds first_retransmission{200};
+constexpr std::chrono::milliseconds longest_retransmission{1'600};
+/// A user of long flows sends a request about once a second.
+constexpr double user_rate = 1.0;
+
+} // namespace
+
+void virtual_callers::start(const request_class& item, time_point end)
+{
+    this->classes.push_back(item);
+    this->class_ends.push_back(end);
+    const std::size_t index = this->classes.size() - 1;
+    const auto count =
+        static_cast<std::size_t>(std::max(1.0, item.per_second / user_rate));
+    std::uniform_real_distribution<double> phase(0, 1'000'000 / user_rate);
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        user created;
+        created.class_index = index;
+        this->users.push_back(created);
+        const std::size_t number = this->users.size() - 1;
+        this->queue.after(
+            duration(static_cast<std::int64_t>(phase(this->random))),
+            [this, number] { this->ask(number); });
+    }
+}
+
+duration virtual_callers::pause(const request_class&)
+{
+    std::exponential_distribution<double> gap(user_rate);
+    return duration(static_cast<std::int64_t>(gap(this->random) * 1e6));
+}
+
+duration virtual_callers::work_of(std::uint64_t request) const
+{
+    const auto found = this->work.find(request);
+    return found == this->work.end() ? duration(30ms) : found->second;
+}
+
+void virtual_callers::ask(std::size_t index)
+{
+    user& item = this->users[index];
+    const request_class& kind = this->classes[item.class_index];
+    if (this->queue.now() >= this->class_ends[item.class_index])
+    {
+        return;
+    }
+    ++this->by_class[kind.name].asked;
+    item.asked = this->queue.now();
+    item.tries_left = kind.retries;
+    item.request = this->next_request++;
+    std::lognormal_distribution<double> spread(0, 0.4);
+    this->work[item.request] = duration(static_cast<std::int64_t>(
+        static_cast<double>(duration(kind.work).count()) *
+        spread(this->random)));
+    const std::uint64_t request = item.request;
+    this->queue.after(
+        kind.time_limit,
+        [this, index, request]
+        {
+            if (this->users[index].request == request &&
+                this->users[index].asked != time_point{})
+            {
+                this->close(this->users[index]);
+                this->finish(index, false);
+            }
+        });
+    if (item.flow && item.open)
+    {
+        this->send_request(index, ++item.turn, first_retransmission);
+    }
+    else
+    {
+        this->open_flow(index);
+    }
+}
+
+void virtual_callers::open_flow(std::size_t index)
+{
+    user& item = this->users[index];
+    this->close(item);
+    const std::uint32_t number = this->next_port++;
+    item.flow = flow_ends{
+        {first_caller + number / ports_per_caller,
+         static_cast<std::uint16_t>(first_port + number % ports_per_caller)},
+        this->classes[item.class_index].target};
+    item.open = false;
+    item.caller_sequence = first_sequence;
+    this->by_flow[*item.flow] = index;
+    this->send_opening(index, ++item.turn, 0);
+}
+
+void virtual_callers::send_opening(
+    std::size_t index, std::uint64_t turn, std::uint32_t copy)
+{
+    user& item = this->users[index];
+    if (item.turn != turn || item.open)
+    {
+        return;
+    }
+    virtual_packet packet;
+    packet.flow = *item.flow;
+    packet.flags.opens = true;
+    packet.sequence = item.caller_sequence;
+    packet.acknowledged = copy;
+    this->send(packet);
+    const duration sent = copy == 0 ? 0ms : copy_times.at(copy - 1);
+    if (copy < copy_times.size())
+    {
+        this->queue.after(
+            duration(copy_times.at(copy)) - sent, [this, index, turn, copy]
+            { this->send_opening(index, turn, copy + 1); });
+        return;
+    }
+    this->queue.after(
+        duration(opening_end) - sent,
+        [this, index, turn]
+        {
+            if (this->users[index].turn == turn && !this->users[index].open)
+            {
+                this->fail_attempt(index, false);
+            }
+        });
+}
+
+void virtual_callers::send_request(
+    std::size_t index, std::uint64_t turn, duration pause)
+{
+    user& item = this->users[index];
+    if (item.turn != turn)
+    {
+        return;
+    }
+    const request_class& kind = this->classes[item.class_index];
+    virtual_packet packet;
+    packet.flow = *item.flow;
+    packet.flags.acknowledges = true;
+    packet.acknowledged = item.upstream_sequence;
+    packet.payload_size = part_size;
+    packet.request = item.request;
+    packet.parts = kind.parts;
+    for (std::uint16_t part = 0; part < kind.parts; ++part)
+    {
+        packet.part = part;
+        packet.sequence =
+            item.caller_sequence + static_cast<std::uint32_t>(part) * part_size;
+        this->send(packet);
+    }
+    const duration next = std::min(duration(longest_retransmission), pause * 2);
+    this->queue.after(
+        pause,
+        [this, index, turn, next] { this->send_request(index, turn, next); });
+}
+
+void virtual_callers::on_packet(const virtual_packet& packet)
+{
+    const auto found = this->by_flow.find(packet.flow);
+    if (found == this->by_flow.end())
+    {
+        return;
+    }
+    const std::size_t index = found->second;
+    user& item = this->users[index];
+    if (packet.flags.opens)
+    {
+        if (!item.open)
+        {
+            item.open = true;
+            item.upstream_sequence = packet.sequence;
+            this->send_request(index, ++item.turn, first_retransmission);
+        }
+        return;
+    }
+    const bool is_expected = item.open && packet.request == item.request &&
+                             packet.sequence == item.upstream_sequence;
+    if (!is_expected)
+    {
+        return;
+    }
+    const request_class& kind = this->classes[item.class_index];
+    item.caller_sequence += static_cast<std::uint32_t>(kind.parts) * part_size;
+    if (packet.not_run)
+    {
+        this->fail_attempt(index, false);
+        return;
+    }
+    if (!kind.long_flows || packet.flags.closes)
+    {
+        this->close(item);
+    }
+    this->finish(index, true);
+}
+
+void virtual_callers::on_reset(const flow_ends& flow)
+{
+    const auto found = this->by_flow.find(flow);
+    if (found == this->by_flow.end())
+    {
+        return;
+    }
+    const std::size_t index = found->second;
+    const bool was_open = this->users[index].open;
+    if (this->users[index].asked == time_point{})
+    {
+        this->close(this->users[index]);
+        return;
+    }
+    this->fail_attempt(index, was_open);
+}
+
+bool virtual_callers::is_open(const flow_ends& flow) const
+{
+    const auto found = this->by_flow.find(flow);
+    return found != this->by_flow.end() && this->users[found->second].open;
+}
+
+void virtual_callers::fail_attempt(std::size_t index, bool may_have_run)
+{
+    user& item = this->users[index];
+    const request_class& kind = this->classes[item.class_index];
+    this->close(item);
+    const bool may_retry = item.tries_left > 0 &&
+                           (kind.kind == request_kind::safe || !may_have_run);
+    if (!may_retry)
+    {
+        this->finish(index, false);
+        return;
+    }
+    --item.tries_left;
+    this->open_flow(index);
+}
+
+void virtual_callers::close(user& item)
+{
+    if (item.flow)
+    {
+        this->by_flow.erase(*item.flow);
+        item.flow.reset();
+    }
+    item.open = false;
+    ++item.turn;
+}
+
+void virtual_callers::finish(std::size_t index, bool served)
+{
+    user& item = this->users[index];
+    const request_class& kind = this->classes[item.class_index];
+    class_result& result = this->by_class[kind.name];
+    const duration taken = this->queue.now() - item.asked;
+    if (!served)
+    {
+        ++result.failed;
+    }
+    else if (taken <= kind.target_latency)
+    {
+        ++result.in_time;
+    }
+    else
+    {
+        ++result.late;
+    }
+    if (served)
+    {
+        result.latencies_ms.push_back(
+            std::chrono::duration<double, std::milli>(taken).count());
+    }
+    this->ended.push_back({item.asked, served});
+    item.asked = {};
+    ++item.turn;
+    this->queue.after(this->pause(kind), [this, index] { this->ask(index); });
+}
+
+double virtual_callers::served_share(time_point from, time_point to) const
+{
+    std::size_t asked = 0;
+    std::size_t served = 0;
+    for (const auto& item : this->ended)
+    {
+        if (item.asked >= from && item.asked < to)
+        {
+            ++asked;
+            served += item.served ? 1 : 0;
+        }
+    }
+    return asked == 0
+               ? 1.0
+               : static_cast<double>(served) / static_cast<double>(asked);
+}
+
+} // namespace masticslip::standin
--- /dev/null
+++ b/standins/flow/virtual_callers.hpp
@@ -0,0 +1,122 @@
+#pragma once
+/// Callers of the virtual fleet: long flows with pauses, or a flow for each
+/// request, with copies of opening packets, retransmissions and retries.
+
+#include "event_queue.hpp"
+#include "masticslip/core/configuration.hpp"
+#include "virtual_packet.hpp"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace masticslip::standin
+{
+
+/// One kind of request.
+struct request_class
+{
+    std::string name;
+    endpoint target;
+    request_kind kind = request_kind::safe;
+    bool long_flows = true;
+    double per_second = 100;
+    std::chrono::milliseconds work{30};
+    std::uint16_t parts = 1;
+    std::chrono::milliseconds target_latency{150};
+    std::chrono::milliseconds time_limit{1'000};
+    int retries = 2;
+};
+
+/// How the requests of one class ended.
+struct class_result
+{
+    std::uint64_t asked = 0;
+    std::uint64_t in_time = 0;
+    std::uint64_t late = 0;
+    std::uint64_t failed = 0;
+    std::vector<double> latencies_ms;
+};
+
+/// Not thread-safe.
+class virtual_callers
+{
+public:
+    /// Sends a packet of a caller towards the entries.
+    using sender = std::function<void(const virtual_packet&)>;
+
+    virtual_callers(event_queue& queue, std::uint64_t seed, sender send)
+        : queue(queue), random(seed), send(std::move(send))
+    {
+    }
+
+    /// Sends requests of a class until `end`.
+    void start(const request_class& item, time_point end);
+
+    /// A packet for a caller.
+    void on_packet(const virtual_packet& packet);
+
+    /// A reset of the system's own.
+    void on_reset(const flow_ends& flow);
+
+    /// The flow of an open connection, for checks.
+    [[nodiscard]] bool is_open(const flow_ends& flow) const;
+
+    [[nodiscard]] const std::map<std::string, class_result>& results() const
+    {
+        return this->by_class;
+    }
+
+    /// Work that a request takes at its upstream.
+    [[nodiscard]] duration work_of(std::uint64_t request) const;
+
+    /// Requests answered between two times, and sent between them.
+    [[nodiscard]] double served_share(time_point from, time_point to) const;
+
+private:
+    struct user
+    {
+        std::size_t class_index = 0;
+        std::optional<flow_ends> flow;
+        bool open = false;
+        std::uint32_t caller_sequence = 0;
+        std::uint32_t upstream_sequence = 0;
+        std::uint64_t request = 0;
+        int tries_left = 0;
+        time_point asked;
+        std::uint64_t turn = 0;
+    };
+
+    struct ended_request
+    {
+        time_point asked;
+        bool served = false;
+    };
+
+    void ask(std::size_t index);
+    void open_flow(std::size_t index);
+    void
+    send_opening(std::size_t index, std::uint64_t turn, std::uint32_t copy);
+    void send_request(std::size_t index, std::uint64_t turn, duration pause);
+    void fail_attempt(std::size_t index, bool may_have_run);
+    void finish(std::size_t index, bool served);
+    void close(user& item);
+    duration pause(const request_class& item);
+
+    event_queue& queue;
+    std::mt19937_64 random;
+    sender send;
+    std::vector<request_class> classes;
+    std::vector<user> users;
+    std::vector<time_point> class_ends;
+    std::map<flow_ends, std::size_t> by_flow;
+    std::map<std::string, class_result> by_class;
+    std::map<std::uint64_t, duration> work;
+    std::vector<ended_request> ended;
+    std::uint64_t next_request = 1;
+    std::uint32_t next_port = 0;
+};
+
+} // namespace masticslip::standin
--- /dev/null
+++ b/standins/flow/virtual_flow_fleet.cpp
@@ -0,0 +1,1007 @@
+#include "virtual_flow_fleet.hpp"
+
+#include "masticslip/core/rendezvous.hpp"
+
+#include <algorithm>
+
+namespace masticslip::standin
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint32_t entry_network = 0x0A010000;
+constexpr std::uint32_t companion_network = 0x0A020000;
+constexpr std::uint16_t control_port = 7'120;
+constexpr std::uint16_t packet_port = 8'232;
+constexpr std::chrono::milliseconds status_interval{1'000};
+constexpr std::chrono::milliseconds store_delay{5};
+constexpr std::chrono::milliseconds fetch_delay{3};
+constexpr std::chrono::milliseconds linger{2'000};
+/// The fabric asks for readiness this often and believes two misses.
+constexpr std::chrono::milliseconds probe_interval{500};
+constexpr int believed_misses = 2;
+/// A withdrawn domain gets no new flow after this.
+constexpr std::chrono::milliseconds withdraw_bound{5'000};
+/// A leaving upstream gets no new flow after this.
+constexpr std::chrono::milliseconds drain_bound{3'000};
+constexpr std::chrono::milliseconds core_tick{20};
+
+std::string domain_name(std::uint32_t number)
+{
+    return "domain-" + std::to_string(number);
+}
+
+} // namespace
+
+class virtual_flow_fleet::event_counter final : public flow_event_sink
+{
+public:
+    void on_event(time_point, const flow_event& event) override
+    {
+        ++this->counts.at(static_cast<std::size_t>(event.kind));
+    }
+
+    std::array<std::uint64_t, flow_event_count> counts{};
+};
+
+struct virtual_flow_fleet::entry_process final : entry_flow_output
+{
+    void send_packet(const endpoint& companion, byte_view packet) override
+    {
+        this->fleet->send_packet_to_companion(this->index, companion, packet);
+    }
+
+    void reset_caller(const flow_ends& flow, std::uint32_t) override
+    {
+        this->fleet->deliver_reset(flow);
+    }
+
+    void send(instance_id to, const flow_message& message) override
+    {
+        this->fleet->send_control(this->domain, this->id, to, message);
+    }
+
+    void fetch_policy(instance_id from) override
+    {
+        this->fleet->fetch(from, this->id);
+    }
+
+    virtual_flow_fleet* fleet = nullptr;
+    std::size_t index = 0;
+    instance_id id;
+    std::uint32_t domain = 0;
+    std::unique_ptr<entry_flow_core> core;
+    std::uint64_t life = 0;
+    time_point frozen_until;
+    bool in_rotation = true;
+    bool is_stopping = false;
+    bool is_turned_away = false;
+    int misses = 0;
+    std::set<instance_id> listed;
+};
+
+struct virtual_flow_fleet::companion_process final : companion_flow_output
+{
+    void send_to_upstream(byte_view packet) override
+    {
+        this->fleet->to_host(this->index, packet);
+    }
+
+    void send_to_caller(const endpoint&, byte_view packet) override
+    {
+        this->fleet->deliver_to_caller(decode(packet));
+    }
+
+    void reset_caller(const flow_ends& flow, std::uint32_t) override
+    {
+        this->fleet->deliver_reset(flow);
+    }
+
+    void send(instance_id to, const flow_message& message) override
+    {
+        this->fleet->send_control(this->domain, this->id, to, message);
+    }
+
+    void fetch_policy(instance_id from) override
+    {
+        this->fleet->fetch(from, this->id);
+    }
+
+    void on_not_listed() override
+    {
+    }
+
+    virtual_flow_fleet* fleet = nullptr;
+    std::size_t index = 0;
+    instance_id id;
+    endpoint packets;
+    std::uint32_t domain = 0;
+    std::string service;
+    std::unique_ptr<virtual_host> host;
+    std::unique_ptr<companion_flow_core> core;
+    std::uint64_t life = 0;
+    time_point frozen_until;
+    time_point cut_until;
+    time_point drain_acknowledged;
+    bool has_left = false;
+};
+
+fleet_shape small_fleet()
+{
+    fleet_shape shape;
+    shape.services = {
+        {"meetups", 7, {0xC6120001, 443}, request_kind::safe},
+        {"papers", 3, {0xC6120002, 443}, request_kind::upload}};
+    return shape;
+}
+
+std::vector<request_class> small_load(double share)
+{
+    // 35 slots of 30 ms bear some 1,100 requests a second.
+    constexpr double full = 1'100;
+    constexpr double uploads = 25;
+    request_class board;
+    board.name = "board";
+    board.target = {0xC6120001, 443};
+    board.per_second = full * share * 0.75;
+    request_class sign_up = board;
+    sign_up.name = "sign-up";
+    sign_up.kind = request_kind::unsafe;
+    sign_up.long_flows = false;
+    sign_up.per_second = full * share * 0.25;
+    sign_up.target_latency = 200ms;
+    sign_up.time_limit = 1'200ms;
+    request_class upload = sign_up;
+    upload.name = "upload";
+    upload.target = {0xC6120002, 443};
+    upload.kind = request_kind::upload;
+    upload.per_second = uploads;
+    upload.work = 5ms;
+    upload.parts = 34;
+    upload.target_latency = 500ms;
+    upload.time_limit = 3'000ms;
+    return {board, sign_up, upload};
+}
+
+virtual_flow_fleet::virtual_flow_fleet(fleet_shape values, std::uint64_t seed)
+    : shape(std::move(values)), random(seed),
+      clients(
+          this->queue,
+          seed + 1,
+          [this](const virtual_packet& packet)
+          { this->route_to_entry(packet); }),
+      events(std::make_unique<event_counter>())
+{
+    this->publish_policy();
+    std::uint32_t placed = 0;
+    for (const auto& service : this->shape.services)
+    {
+        for (std::uint32_t i = 0; i < service.hosts; ++i)
+        {
+            this->create_companion(
+                service.name, placed++ % this->shape.domains);
+        }
+    }
+    for (std::uint32_t i = 0; i < this->shape.entries; ++i)
+    {
+        this->add_entry();
+    }
+    // Traffic begins when everybody knows everybody.
+    this->queue.run_until(this->queue.now() + 3s);
+}
+
+virtual_flow_fleet::~virtual_flow_fleet() = default;
+
+const virtual_host& virtual_flow_fleet::host(std::size_t index) const
+{
+    return *this->companions.at(index)->host;
+}
+
+std::size_t virtual_flow_fleet::first_host(const std::string& service) const
+{
+    for (std::size_t i = 0; i < this->companions.size(); ++i)
+    {
+        if (this->companions[i]->service == service)
+        {
+            return i;
+        }
+    }
+    return 0;
+}
+
+std::uint64_t virtual_flow_fleet::count(flow_event_kind kind) const
+{
+    return this->events->counts.at(static_cast<std::size_t>(kind));
+}
+
+void virtual_flow_fleet::start_load(
+    const std::vector<request_class>& classes, std::chrono::seconds until)
+{
+    for (const auto& item : classes)
+    {
+        this->clients.start(item, this->queue.now() + until);
+    }
+}
+
+void virtual_flow_fleet::at(
+    std::chrono::milliseconds time, std::function<void()> work)
+{
+    this->queue.after(time, std::move(work));
+}
+
+void virtual_flow_fleet::run(std::chrono::milliseconds until)
+{
+    this->queue.run_until(this->queue.now() + until);
+}
+
+void virtual_flow_fleet::report(const std::string& text)
+{
+    const auto seconds = std::chrono::duration<double>(
+        this->queue.now().time_since_epoch() - std::chrono::hours(1));
+    this->broken.push_back(std::to_string(seconds.count()) + " s: " + text);
+}
+
+// Processes.
+
+void virtual_flow_fleet::add_entry()
+{
+    auto created = std::make_unique<entry_process>();
+    created->fleet = this;
+    created->index = this->entries.size();
+    created->domain =
+        static_cast<std::uint32_t>(created->index) % this->shape.domains;
+    const auto number = static_cast<std::uint32_t>(created->index);
+    created->id = {endpoint{entry_network + number, control_port}.packed()};
+    this->entry_ids[created->id] = created->index;
+    this->entries.push_back(std::move(created));
+    this->start_entry(this->entries.size() - 1);
+}
+
+void virtual_flow_fleet::start_entry(std::size_t index)
+{
+    entry_process& process = *this->entries[index];
+    ++process.life;
+    process.is_stopping = false;
+    process.listed.clear();
+    process.core = std::make_unique<entry_flow_core>(
+        entry_flow_settings{domain_name(process.domain), 100'000}, process,
+        *this->events);
+    this->queue.after(store_delay, [this, index] { this->sync_store(index); });
+    this->tick_entry(index, process.life);
+}
+
+void virtual_flow_fleet::create_companion(
+    const std::string& service, std::uint32_t domain)
+{
+    auto created = std::make_unique<companion_process>();
+    created->fleet = this;
+    created->index = this->companions.size();
+    created->domain = domain;
+    created->service = service;
+    const auto number = static_cast<std::uint32_t>(created->index);
+    created->id = {endpoint{companion_network + number, control_port}.packed()};
+    created->packets = {companion_network + number, packet_port};
+    this->companion_ids[created->id] = created->index;
+    this->packet_addresses[created->packets] = created->index;
+    host_shape host = this->shape.host;
+    host.service = service;
+    host.failure_domain = domain_name(domain);
+    const std::size_t index = created->index;
+    created->host = std::make_unique<virtual_host>(
+        this->queue, host, "host-" + std::to_string(index),
+        [this, index](const virtual_packet& packet)
+        { this->from_host(index, packet); });
+    this->companions.push_back(std::move(created));
+    this->companions[index]->host->start(false);
+    this->start_companion(index);
+}
+
+void virtual_flow_fleet::start_companion(std::size_t index)
+{
+    companion_process& process = *this->companions[index];
+    ++process.life;
+    companion_flow_settings settings;
+    settings.name = "side-" + std::to_string(index);
+    settings.service = process.service;
+    settings.failure_domain = domain_name(process.domain);
+    settings.packet_address = process.packets;
+    settings.status_interval = status_interval;
+    process.core =
+        std::make_unique<companion_flow_core>(settings, process, *this->events);
+    this->queue.after(
+        store_delay,
+        [this, index]
+        {
+            this->registered.insert(this->companions[index]->id);
+            for (std::size_t i = 0; i < this->entries.size(); ++i)
+            {
+                this->sync_store(i);
+            }
+        });
+    this->tick_companion(index, process.life);
+    std::uniform_int_distribution<int> phase(0, 1'000);
+    const std::uint64_t life = process.life;
+    this->queue.after(
+        std::chrono::milliseconds(phase(this->random)),
+        [this, index, life] { this->beat(index, life); });
+}
+
+template <class Process, class Work>
+void virtual_flow_fleet::run_on(Process& process, Work work)
+{
+    if (!process.core)
+    {
+        return;
+    }
+    const time_point now = this->queue.now();
+    if (process.frozen_until > now)
+    {
+        // Whatever comes while it stands still is handled after the thaw.
+        this->queue.after(
+            process.frozen_until - now,
+            [this, &process, work] { this->run_on(process, work); });
+        return;
+    }
+    work(now);
+}
+
+void virtual_flow_fleet::tick_entry(std::size_t index, std::uint64_t life)
+{
+    entry_process& process = *this->entries[index];
+    if (!process.core || process.life != life)
+    {
+        return;
+    }
+    if (process.frozen_until <= this->queue.now())
+    {
+        process.core->on_tick(this->queue.now());
+    }
+    const auto ticks = (this->queue.now().time_since_epoch() / core_tick);
+    if (ticks % (probe_interval / core_tick) == 0)
+    {
+        const bool ready = process.core->is_ready() && !process.is_stopping &&
+                           process.frozen_until <= this->queue.now();
+        process.misses = ready ? 0 : process.misses + 1;
+        process.in_rotation = process.misses < believed_misses;
+    }
+    this->queue.after(
+        core_tick, [this, index, life] { this->tick_entry(index, life); });
+}
+
+void virtual_flow_fleet::tick_companion(std::size_t index, std::uint64_t life)
+{
+    companion_process& process = *this->companions[index];
+    if (!process.core || process.life != life)
+    {
+        return;
+    }
+    if (process.frozen_until <= this->queue.now())
+    {
+        process.core->on_tick(this->queue.now());
+    }
+    this->queue.after(
+        companion_flow_core::tick_interval,
+        [this, index, life] { this->tick_companion(index, life); });
+}
+
+void virtual_flow_fleet::beat(std::size_t index, std::uint64_t life)
+{
+    companion_process& process = *this->companions[index];
+    if (process.life != life)
+    {
+        return;
+    }
+    if (process.core && process.host->is_alive())
+    {
+        const upstream_status status = process.host->next_status();
+        this->run_on(
+            process,
+            [&process, status](time_point now)
+            {
+                if (process.core && process.core->on_status(now, status) &&
+                    status.is_draining &&
+                    process.drain_acknowledged == time_point{})
+                {
+                    process.drain_acknowledged = now;
+                }
+            });
+    }
+    this->queue.after(
+        status_interval, [this, index, life] { this->beat(index, life); });
+}
+
+// The platform's store.
+
+void virtual_flow_fleet::publish_policy()
+{
+    configuration value;
+    for (const auto& service : this->shape.services)
+    {
+        service_definition definition;
+        definition.name = service.name;
+        definition.protocol = service_protocol::datagram;
+        definition.cold_flows_per_second = this->shape.cold_flows_per_second;
+        value.services.push_back(definition);
+        route_definition route;
+        route.name = service.name;
+        route.address = service.address;
+        route.service = service.name;
+        route.kind = service.kind;
+        value.routes.push_back(route);
+    }
+    value.withdrawn_domains.assign(
+        this->withdrawn.begin(), this->withdrawn.end());
+    value.number = ++this->revision;
+    this->newest = std::make_shared<policy>(this->revision, value);
+    for (std::size_t i = 0; i < this->entries.size(); ++i)
+    {
+        this->queue.after(store_delay, [this, i] { this->sync_store(i); });
+    }
+}
+
+void virtual_flow_fleet::sync_store(std::size_t index)
+{
+    entry_process& process = *this->entries[index];
+    if (!this->store_up || process.is_turned_away)
+    {
+        return;
+    }
+    this->run_on(
+        process,
+        [this, &process](time_point now)
+        {
+            if (!process.core)
+            {
+                return;
+            }
+            process.core->on_policy(now, this->newest);
+            for (const instance_id id : this->registered)
+            {
+                const auto& companion =
+                    *this->companions[this->companion_ids.at(id)];
+                process.core->on_listed(
+                    now, {id, "side-" + std::to_string(companion.index),
+                          companion.service, domain_name(companion.domain),
+                          companion.packets});
+            }
+            for (const instance_id id : process.listed)
+            {
+                if (!this->registered.contains(id))
+                {
+                    process.core->on_unlisted(now, id);
+                }
+            }
+            process.listed = this->registered;
+        });
+}
+
+void virtual_flow_fleet::fetch(instance_id from, instance_id to)
+{
+    this->queue.after(
+        fetch_delay,
+        [this, from, to]
+        {
+            if (!this->is_reachable(from, to))
+            {
+                return;
+            }
+            const auto peer_entry = this->entry_ids.find(from);
+            const auto peer_companion = this->companion_ids.find(from);
+            std::shared_ptr<const policy> value;
+            if (peer_entry != this->entry_ids.end() &&
+                this->entries[peer_entry->second]->core)
+            {
+                value =
+                    this->entries[peer_entry->second]->core->shared_policy();
+            }
+            else if (
+                peer_companion != this->companion_ids.end() &&
+                this->companions[peer_companion->second]->core)
+            {
+                value = this->companions[peer_companion->second]
+                            ->core->shared_policy();
+            }
+            if (!value)
+            {
+                return;
+            }
+            const auto take = [this, value](auto& process)
+            {
+                this->run_on(
+                    process,
+                    [&process, value](time_point now)
+                    {
+                        if (process.core)
+                        {
+                            process.core->on_policy(now, value);
+                        }
+                    });
+            };
+            if (this->entry_ids.contains(to))
+            {
+                take(*this->entries[this->entry_ids[to]]);
+            }
+            else
+            {
+                take(*this->companions[this->companion_ids[to]]);
+            }
+        });
+}
+
+// The network.
+
+std::uint32_t virtual_flow_fleet::domain_of(instance_id id) const
+{
+    const auto entry = this->entry_ids.find(id);
+    return entry != this->entry_ids.end()
+               ? this->entries[entry->second]->domain
+               : this->companions[this->companion_ids.at(id)]->domain;
+}
+
+bool virtual_flow_fleet::is_reachable(instance_id from, instance_id to) const
+{
+    const std::uint32_t first = this->domain_of(from);
+    const std::uint32_t second = this->domain_of(to);
+    if (this->cuts.contains(std::minmax(first, second)))
+    {
+        return false;
+    }
+    for (const instance_id id : {from, to})
+    {
+        const auto companion = this->companion_ids.find(id);
+        if (companion != this->companion_ids.end() &&
+            this->companions[companion->second]->cut_until > this->queue.now())
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+duration virtual_flow_fleet::delay(std::uint32_t from, std::uint32_t to) const
+{
+    return from == to ? this->shape.near_delay : this->shape.far_delay;
+}
+
+bool virtual_flow_fleet::is_lost()
+{
+    std::uniform_real_distribution<double> share(0, 1);
+    return this->shape.loss > 0 && share(this->random) < this->shape.loss;
+}
+
+void virtual_flow_fleet::send_control(
+    std::uint32_t from_domain,
+    instance_id from,
+    instance_id to,
+    const flow_message& message)
+{
+    ++this->control_count;
+    const bool known =
+        this->entry_ids.contains(to) || this->companion_ids.contains(to);
+    if (!known || this->is_lost() || !this->is_reachable(from, to))
+    {
+        return;
+    }
+    this->queue.after(
+        this->delay(from_domain, this->domain_of(to)),
+        [this, from, to, message]
+        {
+            const auto entry = this->entry_ids.find(to);
+            if (entry == this->entry_ids.end())
+            {
+                auto& process = *this->companions[this->companion_ids[to]];
+                this->run_on(
+                    process,
+                    [&process, from, message](time_point now)
+                    {
+                        if (process.core)
+                        {
+                            process.core->on_message(now, from, message);
+                        }
+                    });
+                return;
+            }
+            auto& process = *this->entries[entry->second];
+            this->run_on(
+                process,
+                [&process, from, message](time_point now)
+                {
+                    const auto* returned =
+                        std::get_if<packet_returned>(&message);
+                    if (!process.core)
+                    {
+                        return;
+                    }
+                    if (returned == nullptr)
+                    {
+                        process.core->on_message(now, from, message);
+                        return;
+                    }
+                    virtual_packet packet = decode(returned->packet);
+                    packet.flags.bounced = false;
+                    const bytes raw = encode(packet);
+                    process.core->on_returned_packet(now, from, view_of(raw));
+                });
+        });
+}
+
+void virtual_flow_fleet::route_to_entry(const virtual_packet& packet)
+{
+    std::vector<weighted_instance> ready;
+    for (const auto& process : this->entries)
+    {
+        if (process->in_rotation)
+        {
+            ready.push_back({process->id, 1});
+        }
+    }
+    if (ready.empty() || this->is_lost())
+    {
+        return;
+    }
+    const auto chosen = rank_candidates(hash_flow_ends(packet.flow), ready, 1);
+    auto& process = *this->entries[this->entry_ids[chosen.front()]];
+    const bytes raw = encode(packet);
+    this->queue.after(
+        this->shape.caller_delay,
+        [this, &process, raw]
+        {
+            this->run_on(
+                process,
+                [&process, raw](time_point now)
+                {
+                    if (process.core)
+                    {
+                        process.core->on_caller_packet(now, view_of(raw));
+                    }
+                });
+        });
+}
+
+void virtual_flow_fleet::send_packet_to_companion(
+    std::size_t entry, const endpoint& address, byte_view raw)
+{
+    const auto found = this->packet_addresses.find(address);
+    if (found == this->packet_addresses.end() || this->is_lost())
+    {
+        return;
+    }
+    auto& process = *this->companions[found->second];
+    const instance_id from = this->entries[entry]->id;
+    if (!this->is_reachable(from, process.id))
+    {
+        return;
+    }
+    const bytes copy(raw.begin(), raw.end());
+    this->queue.after(
+        this->delay(this->entries[entry]->domain, process.domain),
+        [this, &process, from, copy]
+        {
+            this->run_on(
+                process,
+                [&process, from, copy](time_point now)
+                {
+                    if (process.core)
+                    {
+                        process.core->on_caller_packet(
+                            now, from, view_of(copy));
+                    }
+                });
+        });
+}
+
+void virtual_flow_fleet::deliver_to_caller(const virtual_packet& packet)
+{
+    if (this->is_lost())
+    {
+        return;
+    }
+    this->queue.after(
+        this->shape.caller_delay,
+        [this, packet] { this->clients.on_packet(packet); });
+}
+
+void virtual_flow_fleet::deliver_reset(const flow_ends& flow)
+{
+    for (const auto& process : this->companions)
+    {
+        const bool is_disturbed = process->cut_until > this->queue.now() ||
+                                  process->frozen_until > this->queue.now() ||
+                                  !this->cuts.empty();
+        if (process->host->holds(flow) && this->clients.is_open(flow) &&
+            !is_disturbed)
+        {
+            this->report(
+                "reset of " + to_string(flow) + ", which host " +
+                std::to_string(process->index) + " holds");
+        }
+    }
+    this->queue.after(
+        this->shape.caller_delay,
+        [this, flow] { this->clients.on_reset(flow); });
+}
+
+// Hosts.
+
+void virtual_flow_fleet::to_host(std::size_t index, byte_view raw)
+{
+    const virtual_packet packet = decode(raw);
+    companion_process& process = *this->companions[index];
+    if (packet.flags.opens)
+    {
+        this->check_opening(index, packet);
+    }
+    process.host->on_packet(packet, this->clients.work_of(packet.request));
+}
+
+void virtual_flow_fleet::check_opening(
+    std::size_t index, const virtual_packet& packet)
+{
+    const companion_process& process = *this->companions[index];
+    const time_point now = this->queue.now();
+    for (const auto& service : this->shape.services)
+    {
+        if (service.address == packet.flow.target &&
+            service.name != process.service)
+        {
+            report(
+                "a flow for " + service.name + " reaches host " +
+                std::to_string(index) + " of " + process.service);
+        }
+    }
+    const auto since = this->withdrawn_since.find(domain_name(process.domain));
+    if (since != this->withdrawn_since.end() &&
+        now - since->second > withdraw_bound)
+    {
+        report("a flow reaches withdrawn host " + std::to_string(index));
+    }
+    if (process.drain_acknowledged != time_point{} &&
+        now - process.drain_acknowledged > drain_bound)
+    {
+        report("a flow reaches leaving host " + std::to_string(index));
+    }
+    if (process.host->is_cold() && this->shape.cold_flows_per_second > 0)
+    {
+        const auto recent = std::count_if(
+            process.host->openings.begin(), process.host->openings.end(),
+            [now](time_point at) { return now - at < 1s; });
+        if (static_cast<double>(recent) > this->shape.cold_flows_per_second)
+        {
+            report(
+                "cold host " + std::to_string(index) + " gets " +
+                std::to_string(recent) + " flows in a second");
+        }
+    }
+}
+
+void virtual_flow_fleet::from_host(
+    std::size_t index, const virtual_packet& packet)
+{
+    companion_process& process = *this->companions[index];
+    const bytes raw = encode(packet);
+    // A call of its own: the companion may be inside a call to the host.
+    this->queue.after(
+        duration(1),
+        [this, &process, raw]
+        {
+            this->run_on(
+                process,
+                [&process, raw](time_point now)
+                {
+                    if (process.core)
+                    {
+                        process.core->on_upstream_packet(now, view_of(raw));
+                    }
+                });
+        });
+}
+
+double virtual_flow_fleet::imbalance(const std::string& service) const
+{
+    double most = 0;
+    double total = 0;
+    double count = 0;
+    for (const auto& process : this->companions)
+    {
+        if (process->service == service)
+        {
+            const auto runs = static_cast<double>(process->host->runs.size());
+            most = std::max(most, runs);
+            total += runs;
+            ++count;
+        }
+    }
+    return total > 0 ? most * count / total : 1.0;
+}
+
+// Faults and planned work.
+
+void virtual_flow_fleet::kill_entry(
+    std::size_t index, std::chrono::milliseconds down)
+{
+    this->entries[index]->core.reset();
+    this->queue.after(
+        this->shape.restart_time + down,
+        [this, index] { this->start_entry(index); });
+}
+
+void virtual_flow_fleet::stop_entry(std::size_t index)
+{
+    this->entries[index]->is_stopping = true;
+    this->queue.after(linger, [this, index] { this->kill_entry(index, 0ms); });
+}
+
+void virtual_flow_fleet::kill_companion(
+    std::size_t index, std::chrono::milliseconds down)
+{
+    companion_process& process = *this->companions[index];
+    process.core.reset();
+    this->queue.after(
+        this->shape.restart_time + down,
+        [this, index]
+        {
+            if (!this->companions[index]->has_left)
+            {
+                this->start_companion(index);
+            }
+        });
+}
+
+void virtual_flow_fleet::stop_companion(std::size_t index)
+{
+    if (this->companions[index]->core)
+    {
+        this->companions[index]->core->on_stop(this->queue.now());
+    }
+    this->kill_companion(index, 0ms);
+}
+
+void virtual_flow_fleet::freeze_entry(
+    std::size_t index, std::chrono::milliseconds time)
+{
+    this->entries[index]->frozen_until = this->queue.now() + time;
+}
+
+void virtual_flow_fleet::freeze_companion(
+    std::size_t index, std::chrono::milliseconds time)
+{
+    this->companions[index]->frozen_until = this->queue.now() + time;
+}
+
+void virtual_flow_fleet::crash_host(
+    std::size_t index, std::chrono::milliseconds down)
+{
+    this->companions[index]->host->crash();
+    this->queue.after(
+        down,
+        [this, index]
+        {
+            companion_process& process = *this->companions[index];
+            process.host->start(true);
+            if (process.core)
+            {
+                process.core->on_status(
+                    this->queue.now(), process.host->next_status());
+            }
+        });
+}
+
+void virtual_flow_fleet::drain_host(
+    std::size_t index, std::chrono::milliseconds time)
+{
+    companion_process& process = *this->companions[index];
+    process.host->drain();
+    if (process.core)
+    {
+        process.core->on_status(this->queue.now(), process.host->next_status());
+        process.drain_acknowledged = this->queue.now();
+    }
+    this->queue.after(
+        time,
+        [this, index]
+        {
+            companion_process& leaving = *this->companions[index];
+            if (leaving.core)
+            {
+                leaving.core->on_departure(
+                    this->queue.now(), {"host-" + std::to_string(index), {}});
+                leaving.core->on_stop(this->queue.now());
+            }
+            leaving.host->crash();
+            leaving.core.reset();
+            leaving.has_left = true;
+            this->registered.erase(leaving.id);
+            for (std::size_t i = 0; i < this->entries.size(); ++i)
+            {
+                this->sync_store(i);
+            }
+        });
+}
+
+void virtual_flow_fleet::add_host(
+    const std::string& service, std::uint32_t domain)
+{
+    this->create_companion(service, domain);
+}
+
+void virtual_flow_fleet::lose_power(std::chrono::milliseconds down)
+{
+    for (std::size_t i = 0; i < this->entries.size(); ++i)
+    {
+        this->kill_entry(i, down);
+    }
+    for (std::size_t i = 0; i < this->companions.size(); ++i)
+    {
+        if (!this->companions[i]->has_left)
+        {
+            this->kill_companion(i, down);
+            this->companions[i]->host->crash();
+            this->queue.after(
+                this->shape.restart_time + down,
+                [this, i] { this->companions[i]->host->start(true); });
+        }
+    }
+}
+
+void virtual_flow_fleet::cut_domains(std::uint32_t first, std::uint32_t second)
+{
+    this->cuts.insert(std::minmax(first, second));
+}
+
+void virtual_flow_fleet::heal_domains()
+{
+    this->cuts.clear();
+}
+
+void virtual_flow_fleet::cut_companion(
+    std::size_t index, std::chrono::milliseconds time)
+{
+    this->companions[index]->cut_until = this->queue.now() + time;
+}
+
+void virtual_flow_fleet::stop_store(std::chrono::milliseconds time)
+{
+    this->store_up = false;
+    this->queue.after(
+        time,
+        [this]
+        {
+            this->store_up = true;
+            for (std::size_t i = 0; i < this->entries.size(); ++i)
+            {
+                this->sync_store(i);
+            }
+        });
+}
+
+void virtual_flow_fleet::turn_away_entry(
+    std::size_t index, std::chrono::milliseconds time)
+{
+    this->entries[index]->is_turned_away = true;
+    this->queue.after(
+        time,
+        [this, index]
+        {
+            this->entries[index]->is_turned_away = false;
+            this->sync_store(index);
+        });
+}
+
+void virtual_flow_fleet::withdraw(std::uint32_t domain)
+{
+    this->withdrawn.insert(domain_name(domain));
+    this->withdrawn_since[domain_name(domain)] = this->queue.now();
+    this->publish_policy();
+}
+
+void virtual_flow_fleet::restore(std::uint32_t domain)
+{
+    this->withdrawn.erase(domain_name(domain));
+    this->withdrawn_since.erase(domain_name(domain));
+    this->publish_policy();
+}
+
+} // namespace masticslip::standin
--- /dev/null
+++ b/standins/flow/virtual_flow_fleet.hpp
@@ -0,0 +1,191 @@
+#pragma once
+/// A fleet of the layer-4 path in virtual time: the real cores, with stand-ins
+/// for routers, hosts, callers and the platform's store.
+///
+///     virtual_flow_fleet fleet(fleet_shape{}, seed);
+///     fleet.start_load(classes, 20s);
+///     fleet.at(5s, [&] { fleet.kill_entry(0, 1s); });
+///     fleet.run(25s);
+///     BOOST_TEST(fleet.violations().empty());
+///
+/// The same seed gives the same run.
+
+#include "masticslip/flow/companion_flow_core.hpp"
+#include "masticslip/flow/entry_flow_core.hpp"
+#include "virtual_callers.hpp"
+#include "virtual_host.hpp"
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace masticslip::standin
+{
+
+/// Services and machines of a fleet.
+struct fleet_shape
+{
+    struct service
+    {
+        std::string name;
+        std::uint32_t hosts = 7;
+        endpoint address;
+        request_kind kind = request_kind::safe;
+    };
+
+    std::uint32_t domains = 3;
+    std::uint32_t entries = 4;
+    std::vector<service> services;
+    host_shape host;
+    double cold_flows_per_second = 0;
+    /// Share of datagrams that are lost between instances.
+    double loss = 0;
+    std::chrono::microseconds near_delay{200};
+    std::chrono::microseconds far_delay{900};
+    std::chrono::microseconds caller_delay{3'000};
+    std::chrono::milliseconds restart_time{550};
+};
+
+/// The shape of a small fleet: two services, ten hosts, four entries.
+fleet_shape small_fleet();
+
+/// Two classes that load a small fleet to `share` of its slots.
+std::vector<request_class> small_load(double share);
+
+/// Not thread-safe.
+class virtual_flow_fleet
+{
+public:
+    virtual_flow_fleet(fleet_shape shape, std::uint64_t seed);
+    ~virtual_flow_fleet();
+
+    /// Starts all requests of the classes until a time after the start.
+    void start_load(
+        const std::vector<request_class>& classes, std::chrono::seconds until);
+
+    /// Runs an action at a time after the start.
+    void at(std::chrono::milliseconds time, std::function<void()> work);
+
+    /// Runs up to a time after the start.
+    void run(std::chrono::milliseconds until);
+
+    // Faults and planned work.
+
+    /// The process ends at once and starts again after `down` more.
+    void kill_entry(std::size_t index, std::chrono::milliseconds down);
+    /// Leaves the rotation, goes on forwarding, ends and starts again.
+    void stop_entry(std::size_t index);
+    void add_entry();
+    void kill_companion(std::size_t index, std::chrono::milliseconds down);
+    void stop_companion(std::size_t index);
+    void freeze_entry(std::size_t index, std::chrono::milliseconds time);
+    void freeze_companion(std::size_t index, std::chrono::milliseconds time);
+    void crash_host(std::size_t index, std::chrono::milliseconds down);
+    /// Drains, goes on for `time`, ends and leaves with its companion.
+    void drain_host(std::size_t index, std::chrono::milliseconds time);
+    void add_host(const std::string& service, std::uint32_t domain);
+    /// Everything ends at once and starts again after `down`.
+    void lose_power(std::chrono::milliseconds down);
+    void cut_domains(std::uint32_t first, std::uint32_t second);
+    void heal_domains();
+    /// Nothing passes between a companion and all entries.
+    void cut_companion(std::size_t index, std::chrono::milliseconds time);
+    /// The store answers nobody.
+    void stop_store(std::chrono::milliseconds time);
+    /// The store does not answer this entry.
+    void turn_away_entry(std::size_t index, std::chrono::milliseconds time);
+    void withdraw(std::uint32_t domain);
+    void restore(std::uint32_t domain);
+
+    [[nodiscard]] const virtual_callers& callers() const
+    {
+        return this->clients;
+    }
+
+    [[nodiscard]] std::size_t host_count() const
+    {
+        return this->companions.size();
+    }
+
+    [[nodiscard]] const virtual_host& host(std::size_t index) const;
+
+    /// Index of the first host of a service.
+    [[nodiscard]] std::size_t first_host(const std::string& service) const;
+
+    /// Broken promises, each with its time.
+    [[nodiscard]] const std::vector<std::string>& violations() const
+    {
+        return this->broken;
+    }
+
+    /// Largest share of a host's requests over the mean of its service.
+    [[nodiscard]] double imbalance(const std::string& service) const;
+
+    /// Control messages sent so far.
+    [[nodiscard]] std::uint64_t control_messages() const
+    {
+        return this->control_count;
+    }
+
+    /// Decisions so far.
+    [[nodiscard]] std::uint64_t count(flow_event_kind kind) const;
+
+private:
+    struct entry_process;
+    struct companion_process;
+    class event_counter;
+
+    void start_entry(std::size_t index);
+    void start_companion(std::size_t index);
+    void create_companion(const std::string& service, std::uint32_t domain);
+    void tick_entry(std::size_t index, std::uint64_t life);
+    void tick_companion(std::size_t index, std::uint64_t life);
+    void beat(std::size_t index, std::uint64_t life);
+    void route_to_entry(const virtual_packet& packet);
+    void deliver_to_caller(const virtual_packet& packet);
+    void deliver_reset(const flow_ends& flow);
+    void send_control(
+        std::uint32_t from_domain,
+        instance_id from,
+        instance_id to,
+        const flow_message& message);
+    void send_packet_to_companion(
+        std::size_t entry, const endpoint& address, byte_view raw);
+    void to_host(std::size_t index, byte_view raw);
+    void from_host(std::size_t index, const virtual_packet& packet);
+    void check_opening(std::size_t index, const virtual_packet& packet);
+    void publish_policy();
+    void sync_store(std::size_t index);
+    void fetch(instance_id from, instance_id to);
+    [[nodiscard]] bool is_reachable(instance_id from, instance_id to) const;
+    [[nodiscard]] duration delay(std::uint32_t from, std::uint32_t to) const;
+    [[nodiscard]] bool is_lost();
+    [[nodiscard]] std::uint32_t domain_of(instance_id id) const;
+    void report(const std::string& text);
+    /// Runs work of a process unless it is frozen or has ended.
+    template <class Process, class Work>
+    void run_on(Process& process, Work work);
+
+    fleet_shape shape;
+    std::mt19937_64 random;
+    event_queue queue;
+    virtual_callers clients;
+    std::unique_ptr<event_counter> events;
+    std::vector<std::unique_ptr<entry_process>> entries;
+    std::vector<std::unique_ptr<companion_process>> companions;
+    std::map<instance_id, std::size_t> entry_ids;
+    std::map<instance_id, std::size_t> companion_ids;
+    std::map<endpoint, std::size_t> packet_addresses;
+    std::set<instance_id> registered;
+    std::set<std::pair<std::uint32_t, std::uint32_t>> cuts;
+    std::set<std::string> withdrawn;
+    std::map<std::string, time_point> withdrawn_since;
+    std::shared_ptr<const policy> newest;
+    std::uint64_t revision = 0;
+    std::uint64_t control_count = 0;
+    bool store_up = true;
+    std::vector<std::string> broken;
+};
+
+} // namespace masticslip::standin
--- /dev/null
+++ b/standins/flow/virtual_host.hpp
@@ -0,0 +1,119 @@
+#pragma once
+/// An upstream of the virtual fleet: slots, queue, cold start, drain, bounce.
+
+#include "event_queue.hpp"
+#include "masticslip/flow/upstream_status.hpp"
+#include "virtual_packet.hpp"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+
+namespace masticslip::standin
+{
+
+/// Figures of one upstream.
+struct host_shape
+{
+    std::string service;
+    std::string failure_domain;
+    std::uint32_t slots = 5;
+    std::size_t queue = 20;
+    std::chrono::milliseconds cold_time{2'000};
+    /// Work takes this many times as long while cold.
+    double cold_factor = 1.6;
+};
+
+/// Not thread-safe.
+class virtual_host
+{
+public:
+    using sender = std::function<void(const virtual_packet&)>;
+
+    virtual_host(
+        event_queue& queue, host_shape shape, std::string id, sender send)
+        : queue(queue), shape(std::move(shape)), id(std::move(id)),
+          send(std::move(send))
+    {
+    }
+
+    /// Starts anew: knows nothing of before. Warm at the first start.
+    void start(bool is_cold);
+    void crash();
+    void drain()
+    {
+        this->is_draining = true;
+    }
+
+    void on_packet(const virtual_packet& packet, duration work);
+
+    /// The next status message.
+    upstream_status next_status();
+
+    [[nodiscard]] bool is_alive() const
+    {
+        return this->alive;
+    }
+
+    [[nodiscard]] bool holds(const flow_ends& flow) const
+    {
+        const auto found = this->flows.find(flow);
+        return this->alive && found != this->flows.end() && found->second.open;
+    }
+
+    [[nodiscard]] bool is_cold() const
+    {
+        return this->queue.now() < this->cold_until;
+    }
+
+    [[nodiscard]] const host_shape& figures() const
+    {
+        return this->shape;
+    }
+
+    /// Opening packets that were taken, with their times.
+    std::vector<time_point> openings;
+    /// Requests that ran, by id: how often.
+    std::map<std::uint64_t, int> runs;
+
+private:
+    struct flow_state
+    {
+        std::uint32_t sequence = 0;
+        bool open = false;
+        std::set<std::uint16_t> parts;
+        std::uint64_t request = 0;
+        bool running = false;
+    };
+
+    struct job
+    {
+        flow_ends flow;
+        std::uint64_t request = 0;
+        duration work{};
+    };
+
+    void
+    take_data(flow_state& flow, const virtual_packet& packet, duration work);
+    void start_work();
+    void answer(const job& item, bool not_run);
+
+    event_queue& queue;
+    host_shape shape;
+    std::string id;
+    sender send;
+    std::map<flow_ends, flow_state> flows;
+    std::deque<job> waiting;
+    std::uint32_t busy = 0;
+    std::uint32_t next_sequence = 1'000'000;
+    std::uint64_t status_sequence = 0;
+    std::uint64_t life = 0;
+    std::chrono::milliseconds started{};
+    time_point cold_until;
+    bool alive = false;
+    bool is_draining = false;
+};
+
+} // namespace masticslip::standin
--- /dev/null
+++ b/tests/flow/flow_fleet_test.cpp
@@ -0,0 +1,248 @@
+// The layer-4 path under faults, in virtual time: promises hold, and what can
+// be served is served.
+
+#include "virtual_flow_fleet.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace masticslip;
+using namespace masticslip::standin;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+using fault = std::function<void(virtual_flow_fleet&)>;
+
+/// One run: a fault at 5 s under the usual load of 25 s.
+struct fault_case
+{
+    const char* name;
+    /// Smallest share of requests that must be served while the fault lasts
+    /// (5 to 12 s), and after it (15 to 23 s).
+    double served_during;
+    double served_after;
+    fault apply;
+};
+
+std::ostream& operator<<(std::ostream& stream, const fault_case& value)
+{
+    return stream << value.name;
+}
+
+const std::vector<fault_case> fault_cases{
+    {"calm", 0.999, 0.999,
+     [](virtual_flow_fleet&) {
+     }},
+    {"entries_are_replaced_one_by_one", 0.99, 0.999,
+     [](virtual_flow_fleet& fleet)
+     {
+         for (std::size_t i = 0; i < 4; ++i)
+         {
+             fleet.at(i * 2'500ms, [&fleet, i] { fleet.stop_entry(i); });
+         }
+     }},
+    {"an_entry_is_killed", 0.97, 0.999,
+     [](virtual_flow_fleet& fleet)
+     {
+         fleet.kill_entry(0, 500ms);
+     }},
+    {"entries_are_added", 0.999, 0.999,
+     [](virtual_flow_fleet& fleet)
+     {
+         fleet.add_entry();
+         fleet.add_entry();
+     }},
+    {"companions_are_restarted_one_by_one", 0.99, 0.999,
+     [](virtual_flow_fleet& fleet)
+     {
+         for (std::size_t i = 0; i < 7; ++i)
+         {
+             fleet.at(i * 1'000ms, [&fleet, i] { fleet.stop_companion(i); });
+         }
+     }},
+    {"all_companions_are_killed", 0.9, 0.99,
+     [](virtual_flow_fleet& fleet)
+     {
+         for (std::size_t i = 0; i < fleet.host_count(); ++i)
+         {
+             fleet.kill_companion(i, 0ms);
+         }
+     }},
+    {"all_power_is_lost", 0.7, 0.99,
+     [](virtual_flow_fleet& fleet)
+     {
+         fleet.lose_power(1'000ms);
+     }},
+    {"a_host_crashes_and_returns_cold", 0.97, 0.999,
+     [](virtual_flow_fleet& fleet)
+     {
+         fleet.crash_host(0, 4'000ms);
+     }},
+    {"a_host_leaves", 0.999, 0.999,
+     [](virtual_flow_fleet& fleet)
+     {
+         fleet.drain_host(0, 3'000ms);
+     }},
+    {"hosts_are_replaced", 0.999, 0.999,
+     [](virtual_flow_fleet& fleet)
+     {
+         for (std::size_t i = 0; i < 3; ++i)
+         {
+             fleet.at(
+                 i * 1'000ms,
+                 [&fleet, i]
+                 {
+                     fleet.add_host("meetups", i % 3);
+                     fleet.drain_host(i, 3'000ms);
+                 });
+         }
+     }},
+    {"a_domain_is_withdrawn_and_returned", 0.999, 0.999,
+     [](virtual_flow_fleet& fleet)
+     {
+         fleet.withdraw(0);
+         fleet.at(7'000ms, [&fleet] { fleet.restore(0); });
+     }},
+    {"two_domains_are_cut", 0.9, 0.99,
+     [](virtual_flow_fleet& fleet)
+     {
+         fleet.cut_domains(0, 1);
+         fleet.at(5'000ms, [&fleet] { fleet.heal_domains(); });
+     }},
+    {"a_companion_is_cut", 0.95, 0.99,
+     [](virtual_flow_fleet& fleet)
+     {
+         fleet.cut_companion(0, 5'000ms);
+     }},
+    {"an_entry_is_frozen", 0.9, 0.99,
+     [](virtual_flow_fleet& fleet)
+     {
+         fleet.freeze_entry(0, 4'000ms);
+     }},
+    {"a_companion_is_frozen", 0.93, 0.99,
+     [](virtual_flow_fleet& fleet)
+     {
+         fleet.freeze_companion(0, 4'000ms);
+     }},
+    {"the_store_is_down_while_a_domain_was_withdrawn", 0.999, 0.999,
+     [](virtual_flow_fleet& fleet)
+     {
+         fleet.withdraw(1);
+         fleet.at(10ms, [&fleet] { fleet.stop_store(6'000ms); });
+     }},
+    {"an_entry_is_turned_away_while_a_domain_is_withdrawn", 0.999, 0.999,
+     [](virtual_flow_fleet& fleet)
+     {
+         fleet.turn_away_entry(0, 9'000ms);
+         fleet.withdraw(1);
+     }},
+    {"a_killed_entry_returns_while_it_is_turned_away", 0.97, 0.999,
+     [](virtual_flow_fleet& fleet)
+     {
+         fleet.turn_away_entry(0, 9'000ms);
+         fleet.kill_entry(0, 0ms);
+     }}};
+
+struct run_result
+{
+    double before = 0;
+    double during = 0;
+    double after = 0;
+};
+
+run_result
+play(virtual_flow_fleet& fleet, const fault& apply, double load_share)
+{
+    fleet.start_load(small_load(load_share), 25s);
+    fleet.at(5'000ms, [&fleet, &apply] { apply(fleet); });
+    fleet.run(30'000ms);
+    const time_point start{std::chrono::hours(1) + 3s};
+    const auto& callers = fleet.callers();
+    return {
+        callers.served_share(start, start + 4s),
+        callers.served_share(start + 5s, start + 12s),
+        callers.served_share(start + 15s, start + 23s)};
+}
+
+std::string first_of(const std::vector<std::string>& texts)
+{
+    return texts.empty() ? std::string() : texts.front();
+}
+
+constexpr std::array<std::uint64_t, 3> seeds{1, 2, 3};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(flow_fleet)
+
+BOOST_DATA_TEST_CASE(
+    promises_hold_and_requests_are_served,
+    boost::unit_test::data::make(fault_cases) *
+        boost::unit_test::data::make(seeds),
+    item,
+    seed)
+{
+    virtual_flow_fleet fleet(small_fleet(), seed);
+
+    const run_result result = play(fleet, item.apply, 0.35);
+
+    BOOST_TEST(fleet.violations().empty(), first_of(fleet.violations()));
+    BOOST_TEST(result.before >= 0.999);
+    BOOST_TEST(result.during >= item.served_during);
+    BOOST_TEST(result.after >= item.served_after);
+}
+
+BOOST_DATA_TEST_CASE(
+    lost_datagrams_break_no_promise,
+    boost::unit_test::data::make(fault_cases),
+    item)
+{
+    fleet_shape shape = small_fleet();
+    shape.loss = 0.01;
+    virtual_flow_fleet fleet(shape, 7);
+
+    play(fleet, item.apply, 0.35);
+
+    BOOST_TEST(fleet.violations().empty(), first_of(fleet.violations()));
+}
+
+BOOST_DATA_TEST_CASE(
+    cold_hosts_get_no_more_than_the_stated_rate,
+    boost::unit_test::data::make(fault_cases),
+    item)
+{
+    fleet_shape shape = small_fleet();
+    shape.cold_flows_per_second = 4;
+    virtual_flow_fleet fleet(shape, 11);
+
+    play(fleet, item.apply, 0.35);
+
+    BOOST_TEST(fleet.violations().empty(), first_of(fleet.violations()));
+}
+
+BOOST_AUTO_TEST_CASE(load_is_spread_evenly)
+{
+    virtual_flow_fleet fleet(small_fleet(), 5);
+    play(
+        fleet, [](virtual_flow_fleet&) {}, 0.6);
+    BOOST_TEST(fleet.imbalance("meetups") <= 1.15);
+}
+
+BOOST_AUTO_TEST_CASE(the_same_seed_gives_the_same_run)
+{
+    std::array<std::uint64_t, 2> counts{};
+    for (auto& count : counts)
+    {
+        virtual_flow_fleet fleet(small_fleet(), 9);
+        play(
+            fleet, [](virtual_flow_fleet& item) { item.kill_entry(1, 0ms); },
+            0.3);
+        count = fleet.control_messages();
+    }
+    BOOST_TEST(counts[0] == counts[1]);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
