Ask beyond the first 64 companions before a flow counts as lost; probe with one packet

New members moved the owner below the first 64 ranks; the first 64 said "absent" and the flow was reset. Look-ups now go on, in waves of 64 up to four, and nothing is reset unless every companion was asked. - An uncertain companion got all held packets of a flow at once. It now gets one packet until it has confirmed that its upstream holds the flow. - "Lost" is five greetings, at least 1.5 s: with 80 companions a greeting comes each 0.65 s. Ruled out: restarted companions (the owners of the reset flows had run since the start) and lost registrations (all owners were listed).

--- a/include/masticslip/flow/companion_directory.hpp
+++ b/include/masticslip/flow/companion_directory.hpp
@@ -76,6 +76,11 @@
         return this->members;
     }
 
+    [[nodiscard]] std::size_t size() const
+    {
+        return this->members.size();
+    }
+
     void erase(instance_id id);
 
 private:
--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -173,8 +173,7 @@
     void on_bounced(time_point now, const flow_packet& packet);
     void
     on_accepted(time_point now, flow_record& flow, const flow_packet& packet);
-    void note_upstream_data(
-        time_point now, flow_record& flow, const flow_packet& packet);
+    void note_upstream_data(flow_record& flow, const flow_packet& packet);
     void set_waiting(flow_record& flow, bool value);
     void set_state(flow_record& flow, flow_state state);
     [[nodiscard]] ownership
--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -12,8 +12,9 @@
 ///     core.on_listed(now, record);
 ///     core.on_caller_packet(now, packet);
 ///
-/// Caveat: look-ups ask at most `look_up_width` companions, ranked by
-/// rendezvous hash over the flow, and flows are placed only among them.
+/// Caveat: companions are ranked by rendezvous hash over the flow. Flows are
+/// placed among the first of a large service, and look-ups ask a bounded number
+/// of them; a flow beyond these is not found, and never reset.
 
 #include "masticslip/flow/companion_directory.hpp"
 #include "masticslip/flow/flow_event.hpp"
@@ -121,6 +122,8 @@
         instance_id companion;
         /// True once a companion has confirmed that its upstream has the flow.
         bool confirmed = false;
+        /// The companion asks its upstream whether it holds the flow.
+        bool is_probe = false;
         bool closing = false;
         time_point last_packet;
     };
@@ -152,6 +155,9 @@
         std::vector<instance_id> pending;
         std::vector<instance_id> uncertain;
         std::vector<instance_id> absent;
+        /// Times that companions were asked, and whether these were all.
+        std::size_t waves = 0;
+        bool is_complete = false;
     };
 
     template <class Value>
@@ -161,12 +167,13 @@
     void on_opening(time_point now, const flow_packet& packet);
     void place(time_point now, const flow_ends& flow, opening& item);
     void reject(time_point now, const flow_ends& flow, opening& item);
-    std::vector<instance_id>
-    ranked_companions(service_id service, const flow_ends& flow) const;
+    std::vector<instance_id> ranked_companions(
+        service_id service, const flow_ends& flow, std::size_t count) const;
     std::vector<placement_candidate>
     candidates_for(time_point now, const flow_ends& flow, const opening& item);
     [[nodiscard]] bool
     is_lost(time_point now, const directory_member& member) const;
+    [[nodiscard]] duration greeting_interval() const;
     [[nodiscard]] bool may_repeat(const flow_ends& flow) const;
     [[nodiscard]] bool
     may_wait(time_point now, const flow_ends& flow, const opening& item) const;
@@ -175,6 +182,8 @@
         time_point now,
         const flow_packet& packet,
         std::optional<instance_id> except);
+    /// Asks the next companions by rank.
+    void ask_owners(time_point now, const flow_ends& flow, look_up& item);
     void finish_look_up(time_point now, const flow_ends& flow);
     void settle_owner(
         time_point now, const flow_ends& flow, instance_id owner, bool sure);
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -356,7 +356,7 @@
     }
     else
     {
-        this->note_upstream_data(now, flow, packet);
+        this->note_upstream_data(flow, packet);
     }
     this->output.send_to_caller(packet.flow.caller, packet.raw);
 }
@@ -380,11 +380,16 @@
 }
 
 void companion_flow_core::note_upstream_data(
-    time_point, flow_record& flow, const flow_packet& packet)
+    flow_record& flow, const flow_packet& packet)
 {
     if (flow.state == flow_state::probing || flow.state == flow_state::absent)
     {
         this->set_state(flow, flow_state::open);
+        if (flow.entry.value != 0)
+        {
+            this->output.send(
+                flow.entry, owner_answer{packet.flow, ownership::owned});
+        }
     }
     flow.accepted = true;
     flow.upstream_sequence = packet.sequence;
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -10,8 +10,12 @@
 namespace
 {
 
-/// Companions among which a flow is placed and looked up.
+/// Companions among which a flow is placed, and that are asked at once in a
+/// look-up.
 constexpr std::size_t look_up_width = 64;
+/// Times that a look-up asks the next companions. New members move others to
+/// lower ranks, so an owner may be beyond the first.
+constexpr std::size_t max_waves = 4;
 /// Companions that may be tried for one opening packet.
 constexpr std::size_t max_attempts = 6;
 /// Wait for a companion's answer to an opening packet. Half of the time after
@@ -21,6 +25,9 @@
 constexpr std::chrono::milliseconds opening_limit{1'500};
 /// Wait for answers to a look-up; below the callers' first retransmission.
 constexpr std::chrono::milliseconds look_up_timeout{100};
+/// While a companion learns from its upstream whether it holds a flow, one
+/// packet in this time is passed on: wrong upstreams should see few.
+constexpr std::chrono::milliseconds probe_interval{100};
 /// Packets of one flow that are held during a look-up: a caller's window.
 constexpr std::size_t max_held_packets = 16;
 /// Look-ups that hold packets at the same time.
@@ -46,6 +53,8 @@
 /// A companion that has not been heard for this long is lost: longer than a
 /// restart, which takes half a second, and a greeting.
 constexpr std::chrono::milliseconds lost_after{1'500};
+/// Greetings without an answer before that, in a large fleet.
+constexpr int lost_greetings = 5;
 /// While an opening waits for room, it is tried again at this interval.
 constexpr std::chrono::milliseconds wait_interval{20};
 /// A load that shows no room is believed for this long while openings wait.
@@ -181,6 +190,10 @@
         this->flows.erase(packet.flow);
         return;
     }
+    if (flow.is_probe && now - flow.last_packet < probe_interval)
+    {
+        return;
+    }
     flow.last_packet = now;
     flow.closing = flow.closing || packet.flags.closes || packet.flags.resets;
     this->output.send_packet(member->record.packet_address, packet.raw);
@@ -190,8 +203,16 @@
     time_point now, const directory_member& member) const
 {
     const time_point since = std::max(member.heard, member.known_since);
+    const duration limit = std::max(
+        duration(lost_after), this->greeting_interval() * lost_greetings);
     // An entry that hears nobody is cut off itself and tells nothing.
-    return now - since > lost_after && now - this->last_heard <= lost_after;
+    return now - since > limit && now - this->last_heard <= limit;
+}
+
+duration entry_flow_core::greeting_interval() const
+{
+    return greet_interval +
+           greet_interval_per_member * static_cast<int>(this->directory.size());
 }
 
 bool entry_flow_core::may_repeat(const flow_ends& flow) const
@@ -225,10 +246,10 @@
 }
 
 std::vector<instance_id> entry_flow_core::ranked_companions(
-    service_id service, const flow_ends& flow) const
+    service_id service, const flow_ends& flow, std::size_t count) const
 {
     const auto& ids = this->directory.of_service(service);
-    if (ids.size() <= look_up_width)
+    if (ids.size() <= count)
     {
         return ids;
     }
@@ -238,7 +259,7 @@
     {
         members.push_back({id, 1});
     }
-    return rank_candidates(hash_flow_ends(flow), members, look_up_width);
+    return rank_candidates(hash_flow_ends(flow), members, count);
 }
 
 std::vector<placement_candidate> entry_flow_core::candidates_for(
@@ -251,8 +272,8 @@
     {
         return result;
     }
-    const auto ids =
-        this->ranked_companions(make_service_id(route->service), flow);
+    const auto ids = this->ranked_companions(
+        make_service_id(route->service), flow, look_up_width);
     result.reserve(ids.size());
     for (const instance_id id : ids)
     {
@@ -455,38 +476,61 @@
     }
     item.service = make_service_id(route->service);
     item.started = now;
-    item.deadline = now + look_up_timeout;
-    const auto ids = this->ranked_companions(item.service, packet.flow);
-    for (const instance_id id : ids)
-    {
-        const directory_member& member = *this->directory.find(id);
-        // No answer is awaited from a lost companion if the caller may repeat
-        // what the flow carries.
-        const bool is_given_up =
-            this->is_lost(now, member) && this->may_repeat(packet.flow);
-        if (!contains(item.absent, id) && !member.has_left && !is_given_up)
-        {
-            item.pending.push_back(id);
-        }
-    }
+    this->ask_owners(now, packet.flow, item);
     this->emit(
         now, flow_event_kind::owner_looked_up, packet.flow,
         except.value_or(instance_id{}), result_code::done,
         static_cast<std::uint32_t>(item.pending.size()));
-    const owner_query query{packet.flow, packet.acknowledged};
-    for (const instance_id id : item.pending)
-    {
-        this->output.send(id, query);
-    }
     if (item.pending.empty())
     {
         this->finish_look_up(now, packet.flow);
     }
 }
 
+void entry_flow_core::ask_owners(
+    time_point now, const flow_ends& flow, look_up& item)
+{
+    item.deadline = now + look_up_timeout;
+    const std::size_t service_size =
+        this->directory.of_service(item.service).size();
+    const bool may_repeat = this->may_repeat(flow);
+    while (item.pending.empty() && item.waves < max_waves &&
+           item.waves * look_up_width < service_size)
+    {
+        ++item.waves;
+        const auto ids = this->ranked_companions(
+            item.service, flow, item.waves * look_up_width);
+        for (const instance_id id : ids)
+        {
+            const directory_member& member = *this->directory.find(id);
+            // No answer is awaited from a lost companion if the caller may
+            // repeat what the flow carries.
+            const bool is_given_up = may_repeat && this->is_lost(now, member);
+            if (!contains(item.absent, id) && !contains(item.uncertain, id) &&
+                !member.has_left && !is_given_up)
+            {
+                item.pending.push_back(id);
+            }
+        }
+    }
+    item.is_complete = item.waves * look_up_width >= service_size;
+    const owner_query query{flow, item.acknowledged};
+    for (const instance_id id : item.pending)
+    {
+        this->output.send(id, query);
+    }
+}
+
 void entry_flow_core::on_answer(
     time_point now, instance_id sender, const owner_answer& message)
 {
+    const auto known = this->flows.find(message.flow);
+    if (known != this->flows.end() && known->second.companion == sender &&
+        message.answer == ownership::owned)
+    {
+        known->second.confirmed = true;
+        known->second.is_probe = false;
+    }
     const auto found = this->look_ups.find(message.flow);
     if (found == this->look_ups.end())
     {
@@ -516,14 +560,22 @@
 void entry_flow_core::finish_look_up(time_point now, const flow_ends& flow)
 {
     look_up& item = this->look_ups[flow];
+    if (item.pending.empty() && !item.is_complete)
+    {
+        this->ask_owners(now, flow, item);
+        if (!item.pending.empty())
+        {
+            return;
+        }
+    }
     if (!item.uncertain.empty())
     {
         const std::size_t index = hash_flow_ends(flow) % item.uncertain.size();
         this->settle_owner(now, flow, item.uncertain[index], false);
         return;
     }
-    const bool tells_caller =
-        item.pending.empty() && !item.absent.empty() && item.has_payload;
+    const bool tells_caller = item.is_complete && item.pending.empty() &&
+                              !item.absent.empty() && item.has_payload;
     this->emit(
         now,
         tells_caller ? flow_event_kind::flow_reset
@@ -554,6 +606,7 @@
     record = {};
     record.companion = owner;
     record.confirmed = sure;
+    record.is_probe = !sure;
     record.last_packet = now;
     this->emit(
         now, flow_event_kind::owner_found, flow, owner, result_code::done,
@@ -564,6 +617,10 @@
     for (const bytes& packet : item.packets)
     {
         this->output.send_packet(member->record.packet_address, packet);
+        if (!sure)
+        {
+            break;
+        }
     }
 }
 
@@ -646,9 +703,7 @@
 {
     this->expire_openings(now);
     this->expire_look_ups(now);
-    const duration interval =
-        greet_interval + greet_interval_per_member *
-                             static_cast<int>(this->directory.all().size());
+    const duration interval = this->greeting_interval();
     for (auto& [id, member] : this->directory.all())
     {
         if (now - member.greeted >= interval)
--- a/tests/flow/entry_flow_core_test.cpp
+++ b/tests/flow/entry_flow_core_test.cpp
@@ -274,6 +274,42 @@
     BOOST_TEST(to_string(output.packets[0]) == to_string(packets_of(3)));
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    a_look_up_goes_on_beyond_the_first_companions_of_a_large_service,
+    entry_fixture)
+{
+    constexpr std::uint16_t count = 100;
+    make_ready(count);
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'001, 2));
+    const auto first = output.sent;
+    BOOST_TEST(first.size() < count);
+
+    for (const auto& item : first)
+    {
+        core.on_message(
+            at(2ms), item.to, owner_answer{test_flow(1), ownership::absent});
+    }
+
+    BOOST_TEST(output.resets.empty());
+    BOOST_TEST(output.sent.size() == count);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_flow_is_not_reset_if_not_every_companion_was_asked, entry_fixture)
+{
+    constexpr std::uint16_t count = 300;
+    make_ready(count);
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'001, 2));
+    for (std::size_t i = 0; i < output.sent.size(); ++i)
+    {
+        core.on_message(
+            at(2ms), output.sent[i].to,
+            owner_answer{test_flow(1), ownership::absent});
+    }
+    BOOST_TEST(output.resets.empty());
+    BOOST_TEST(events.count(flow_event_kind::owner_missing) == 1U);
+}
+
 struct missing_case
 {
     const char* name;
@@ -333,6 +369,28 @@
     BOOST_TEST(to_string(output.packets[1]) == to_string(packets_of(second)));
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    an_uncertain_companion_gets_one_packet_until_it_has_confirmed,
+    entry_fixture)
+{
+    make_ready(2);
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'001, 2));
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'101, 2));
+    core.on_message(
+        at(2ms), companion(1),
+        owner_answer{test_flow(1), ownership::uncertain});
+    core.on_message(
+        at(2ms), companion(2), owner_answer{test_flow(1), ownership::absent});
+    core.on_caller_packet(at(3ms), data_packet(test_flow(1), 1'201, 2));
+    BOOST_TEST(output.packets.size() == 1U);
+
+    core.on_message(
+        at(4ms), companion(1), owner_answer{test_flow(1), ownership::owned});
+    core.on_caller_packet(at(5ms), data_packet(test_flow(1), 1'201, 2));
+
+    BOOST_TEST(output.packets.size() == 2U);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_dropped_route_is_told_to_the_caller, entry_fixture)
 {
     make_ready(1);
