--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -866,7 +866,8 @@
     if (const directory_member* member = this->directory.find(peer))
     {
         event.load = member->load;
-        event.view_age = now - member->heard;
+        event.view_age =
+            member->heard == time_point{} ? duration{} : now - member->heard;
     }
     event.candidates = candidates;
     event.attempts = attempts;
--- a/src/node/member_registration.cpp
+++ b/src/node/member_registration.cpp
@@ -24,7 +24,7 @@
 constexpr int renewals_per_lifetime = 3;
 /// Pause after a failed call: the key is back within two seconds of the
 /// store's return.
-constexpr std::chrono::milliseconds retry_pause{700};
+constexpr std::chrono::milliseconds retry_pause{500};
 /// A key that was written within this time may not be seen by others yet.
 constexpr std::chrono::seconds visible_after{1};
 
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -1,6 +1,10 @@
 #include "log.hpp"
 
+#include "bounded_output.hpp"
+
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
@@ -18,6 +22,42 @@
 {
 
 std::atomic<log_level> current_threshold{log_level::info};
+std::atomic<std::uint64_t> lost_lines{0};
+
+/// Most bytes of log lines that wait for a slow reader.
+constexpr std::size_t log_buffer_size = std::size_t{64} * 1024;
+
+/// Passes formatted lines to a bounded output.
+class bounded_backend final
+    : public logging::sinks::basic_formatted_sink_backend<
+          char,
+          logging::sinks::synchronized_feeding>
+{
+public:
+    explicit bounded_backend(int descriptor)
+        : output(descriptor, log_buffer_size)
+    {
+    }
+
+    void consume(const logging::record_view&, const std::string& line)
+    {
+        this->output.write(line);
+        lost_lines = this->output.lost();
+    }
+
+private:
+    bounded_output output;
+};
+
+auto line_format()
+{
+    return expressions::stream
+           << "time="
+           << expressions::format_date_time<boost::posix_time::ptime>(
+                  "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+           << " level=" << logging::trivial::severity << ' '
+           << expressions::smessage;
+}
 
 } // namespace
 
@@ -31,18 +71,28 @@
     current_threshold = threshold;
     logging::add_common_attributes();
     logging::add_console_log(
-        target,
-        logging::keywords::format =
-            (expressions::stream
-             << "time="
-             << expressions::format_date_time<boost::posix_time::ptime>(
-                    "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-             << " level=" << logging::trivial::severity << ' '
-             << expressions::smessage),
+        target, logging::keywords::format = line_format(),
         logging::keywords::auto_flush = true);
     logging::core::get()->set_filter(logging::trivial::severity >= threshold);
 }
 
+void initialize_bounded_log(log_level threshold, int descriptor)
+{
+    current_threshold = threshold;
+    logging::add_common_attributes();
+    using sink_type = logging::sinks::synchronous_sink<bounded_backend>;
+    const auto sink = boost::make_shared<sink_type>(
+        boost::make_shared<bounded_backend>(descriptor));
+    sink->set_formatter(line_format());
+    logging::core::get()->add_sink(sink);
+    logging::core::get()->set_filter(logging::trivial::severity >= threshold);
+}
+
+std::uint64_t lost_log_lines()
+{
+    return lost_lines;
+}
+
 bool parse_log_level(std::string_view text, log_level& level)
 {
     return logging::trivial::from_string(text.data(), text.size(), level);
--- a/src/telemetry/log.hpp
+++ b/src/telemetry/log.hpp
@@ -19,6 +19,13 @@
 /// Sends log lines at or above a level to a stream. Call once.
 void initialize_log(log_level threshold, std::ostream& target = std::clog);
 
+/// Sends log lines at or above a level to a descriptor without ever blocking.
+/// Lines that a slow reader leaves no room for are counted. Call once.
+void initialize_bounded_log(log_level threshold, int descriptor);
+
+/// Lines that the bounded log has left out so far.
+std::uint64_t lost_log_lines();
+
 /// True if lines of this level are written. Thread-safe.
 bool is_log_enabled(log_level level);
 
--- /dev/null
+++ b/standins/platform/store_server.hpp
@@ -0,0 +1,117 @@
+#pragma once
+/// A stand-in for the platform's metadata store, with its failures.
+///
+///     store_server store(context);
+///     store.open({0x7F000001, 0}, reason);
+///     store.fault = store_fault::silent;
+
+#include "net/http.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+namespace masticslip::standin
+{
+
+/// How the store behaves towards every call.
+enum class store_fault : std::uint8_t
+{
+    none,
+    busy,      ///< 503.
+    limited,   ///< 429.
+    reset,     ///< Closes the connection without an answer.
+    silent,    ///< Takes the call and never answers.
+    lost,      ///< Does what is asked and does not answer.
+    unreadable ///< Answers 200 with a body that is no JSON.
+};
+
+/// Not thread-safe.
+class store_server
+{
+public:
+    explicit store_server(boost::asio::io_context& context);
+
+    /// Listens on an address; false and a reason if it cannot be used.
+    bool open(const endpoint& local, std::string& reason);
+
+    [[nodiscard]] endpoint local() const
+    {
+        return this->server.local();
+    }
+
+    /// Writes a key as the operators do.
+    void write(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
+
+    /// Forgets the history: waits after older revisions are refused.
+    void compact();
+
+    /// Ends all leases with their keys.
+    void end_leases();
+
+    [[nodiscard]] bool has(const std::string& key) const
+    {
+        return this->items.contains(key);
+    }
+
+    [[nodiscard]] std::uint64_t current_revision() const
+    {
+        return this->revision;
+    }
+
+    store_fault fault = store_fault::none;
+    /// Items on one page of a range.
+    std::size_t page_size = 2;
+    std::uint64_t calls = 0;
+
+private:
+    struct item
+    {
+        std::string value;
+        std::uint64_t revision = 0;
+        std::uint64_t created = 0;
+        std::uint64_t lease = 0;
+    };
+
+    struct change
+    {
+        std::string key;
+        std::uint64_t revision = 0;
+        bool removed = false;
+        std::string value;
+    };
+
+    using answer = boost::asio::awaitable<std::optional<http_response>>;
+
+    answer on_request(http_request request, boost::beast::tcp_stream& stream);
+    answer handle(const http_request& request);
+    answer wait_for_changes(const http_request& request);
+    http_response read_range(const http_request& request);
+    http_response change_keys(const http_request& request);
+    http_response change_lease(const http_request& request);
+    void
+    put(const std::string& key, const std::string& value, std::uint64_t lease);
+    void expire_leases();
+    [[nodiscard]] boost::json::object
+    describe(const std::string& key, const item& value) const;
+
+    boost::asio::io_context& context;
+    http_server server;
+    boost::asio::steady_timer changed;
+    std::map<std::string, item> items;
+    std::map<std::uint64_t, std::chrono::steady_clock::time_point> leases;
+    std::deque<change> history;
+    std::uint64_t revision = 1;
+    std::uint64_t oldest = 1;
+    std::uint64_t next_lease = 77'000;
+    std::chrono::milliseconds lifetime{};
+};
+
+} // namespace masticslip::standin
--- a/tests/docs_test.cpp
+++ b/tests/docs_test.cpp
@@ -4,6 +4,7 @@
 #include "cli_settings.hpp"
 #include "daemon_settings.hpp"
 #include "masticslip/core/result_code.hpp"
+#include "node/node_flags.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -31,7 +32,11 @@
            "once, and the exit code is then 2.\n`--help`, `--version` and "
            "(daemon) `--check-settings` end at once. A test keeps\nthis page "
            "equal to the code.\n\n## masticslipd\n\n" +
-           make_daemon_settings_table().markdown() + "\n## masticslip\n\n" +
+           make_daemon_settings_table().markdown() +
+           "\n## masticslip_node\n\nThe role (`entry` or `companion`) is its "
+           "argument. What differs from machine\nto machine comes from the "
+           "file that `MASTICSLIP_NODE_FILE` names.\n\n" +
+           make_node_settings_table().markdown() + "\n## masticslip\n\n" +
            make_cli_settings_table().markdown();
 }
 
