Tell the story of a flow or a policy from the logs of several processes

masticslip story flow|policy merges log files by time, names processes from their start or from a collector's prefix, and names clocks that can be told to differ. Openings that were slow, moved, or led to a cold or full upstream are written always, regular ones by sample. The first opening of a flow no longer carries the reason of a refusal that never was.

--- a/src/cli/cli_settings.cpp
+++ b/src/cli/cli_settings.cpp
@@ -29,7 +29,8 @@
     setting_table table(
         "masticslip NOUN [VERB] [ARGUMENT]: config show|apply FILE|diff "
         "FILE|settle ID GENERATION; preset list|use NAME; domain list|out "
-        "NAME|in NAME; status; upstreams; flows; audit [verify]",
+        "NAME|in NAME; status; upstreams; flows; audit [verify]; "
+        "story flow ID FILE...|policy NUMBER FILE...",
         version_text,
         {{"store", "Addresses of the platform's key-value service", "",
           endpoint_list()},
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "change_commands.hpp"
 #include "report_commands.hpp"
+#include "story_commands.hpp"
 
 #include <functional>
 #include <map>
@@ -19,6 +20,8 @@
 {
     command run;
     std::size_t arguments = 0;
+    /// More arguments than `arguments` are taken, too.
+    bool takes_more = false;
 };
 
 const std::map<std::string, command_entry>& command_table()
@@ -37,7 +40,9 @@
         {"upstreams", {show_upstreams, 0}},
         {"flows", {show_flows, 0}},
         {"audit", {show_audit, 0}},
-        {"audit verify", {verify_audit, 0}}};
+        {"audit verify", {verify_audit, 0}},
+        {"story flow", {tell_flow, 2, true}},
+        {"story policy", {tell_policy, 2, true}}};
     return table;
 }
 
@@ -61,13 +66,17 @@
         }
         const std::vector<std::string> arguments(
             words.begin() + static_cast<std::ptrdiff_t>(length), words.end());
-        if (arguments.size() != found->second.arguments)
+        const command_entry& entry = found->second;
+        const bool is_too_many =
+            arguments.size() > entry.arguments && !entry.takes_more;
+        if (arguments.size() < entry.arguments || is_too_many)
         {
             errors << "masticslip: '" << name << "' takes "
-                   << found->second.arguments << " argument(s)\n";
+                   << (entry.takes_more ? "at least " : "") << entry.arguments
+                   << " argument(s)\n";
             return cli_exit::usage;
         }
-        return found->second.run({settings, arguments, out, errors});
+        return entry.run({settings, arguments, out, errors});
     }
     errors << "masticslip: unknown command; known are:\n";
     for (const auto& [name, entry] : table)
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -332,7 +332,8 @@
     const auto kind = item.tried.empty() ? flow_event_kind::flow_placed
                                          : flow_event_kind::flow_moved;
     this->emit(
-        now, kind, flow, id, item.last_refusal,
+        now, kind, flow, id,
+        item.tried.empty() ? result_code::done : item.last_refusal,
         static_cast<std::uint32_t>(candidates.size()),
         static_cast<std::uint32_t>(item.tried.size()));
     item.tried.push_back(id);
--- a/src/node/flow_telemetry.cpp
+++ b/src/node/flow_telemetry.cpp
@@ -1,5 +1,6 @@
 #include "flow_telemetry.hpp"
 
+#include "flow_event_text.hpp"
 #include "telemetry/log.hpp"
 
 namespace masticslip
@@ -13,11 +14,18 @@
 constexpr std::chrono::seconds line_window{1};
 /// One line for so many regular openings.
 constexpr std::uint64_t regular_sample = 50;
+/// An opening that takes longer is worth a line: half of the time after which
+/// another companion is tried.
+constexpr std::chrono::milliseconds slow_opening{50};
 
-bool is_regular(flow_event_kind kind)
+/// True for an opening as it should be: one of many such lines is written.
+bool is_regular(const flow_event& event)
 {
-    return kind == flow_event_kind::flow_placed ||
-           kind == flow_event_kind::flow_opened;
+    const bool is_opening = event.kind == flow_event_kind::flow_placed ||
+                            event.kind == flow_event_kind::flow_opened;
+    return is_opening && event.attempts == 0 && !event.load.is_cold &&
+           event.load.in_flight <= event.load.concurrency &&
+           event.elapsed < slow_opening;
 }
 
 /// True for what changes the belief of the process: always written.
@@ -26,11 +34,6 @@
     return kind >= flow_event_kind::policy_in_force;
 }
 
-std::int64_t milliseconds_of(duration value)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-}
-
 } // namespace
 
 void latency_histogram::add(duration value)
@@ -60,6 +63,12 @@
     text += name + "_count " + std::to_string(this->total) + "\n";
 }
 
+flow_telemetry::flow_telemetry()
+    : write([](const std::string& text)
+            { write_log_text(log_level::info, text); })
+{
+}
+
 void flow_telemetry::on_event(time_point now, const flow_event& event)
 {
     const auto kind = static_cast<std::size_t>(event.kind);
@@ -80,29 +89,7 @@
     {
         return;
     }
-    log_line line(log_level::info, flow_event_names.at(kind));
-    if (event.flow.caller.port != 0)
-    {
-        line.field("flow", to_string(event.flow));
-    }
-    if (event.peer.value != 0)
-    {
-        line.field("peer", to_string(event.peer.address()));
-    }
-    line.field("code", to_string(event.code))
-        .field("policy", event.policy_revision)
-        .field("in_flight", event.load.in_flight)
-        .field("open_flows", event.load.open_flows)
-        .field("accepts", to_string(event.load.refusal))
-        .field("cold", event.load.is_cold ? 1 : 0)
-        .field("view_age_ms", milliseconds_of(event.view_age))
-        .field("candidates", event.candidates)
-        .field("attempts", event.attempts)
-        .field("elapsed_us", event.elapsed.count());
-    if (!event.detail.empty())
-    {
-        line.field("detail", event.detail);
-    }
+    this->write(to_log_text(event));
 }
 
 bool flow_telemetry::admits_line(time_point now, const flow_event& event)
@@ -111,8 +98,8 @@
     {
         if (this->left_out != 0)
         {
-            log_line(log_level::info, "lines_left_out")
-                .field("count", this->left_out);
+            this->write(
+                "event=lines_left_out count=" + std::to_string(this->left_out));
         }
         this->window_start = now;
         this->lines_in_window = 0;
@@ -123,7 +110,7 @@
         return true;
     }
     const auto seen = this->by_kind.at(static_cast<std::size_t>(event.kind));
-    if (is_regular(event.kind) && seen % regular_sample != 1)
+    if (is_regular(event) && seen % regular_sample != 1)
     {
         return false;
     }
--- a/src/node/flow_telemetry.hpp
+++ b/src/node/flow_telemetry.hpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 
@@ -40,6 +41,17 @@
 class flow_telemetry final : public flow_event_sink
 {
 public:
+    /// Takes the text of a line.
+    using line_writer = std::function<void(const std::string&)>;
+
+    /// Lines go to the log.
+    flow_telemetry();
+
+    /// Lines go to `write`.
+    explicit flow_telemetry(line_writer write) : write(std::move(write))
+    {
+    }
+
     void on_event(time_point now, const flow_event& event) override;
 
     /// Sets a gauge that is shown with the counters.
@@ -65,6 +77,7 @@
 private:
     bool admits_line(time_point now, const flow_event& event);
 
+    line_writer write;
     std::array<std::uint64_t, flow_event_count> by_kind{};
     std::map<result_code, std::uint64_t> by_code;
     std::map<std::string, double> gauges;
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -105,36 +105,46 @@
 
 log_line::~log_line()
 {
-    BOOST_LOG_STREAM_WITH_PARAMS(
-        logging::trivial::logger::get(),
-        (logging::keywords::severity = this->level))
-        << this->text;
+    write_log_text(this->level, this->text);
 }
 
 log_line& log_line::field(std::string_view key, std::string_view value)
 {
-    if (!this->text.empty())
+    append_log_field(this->text, key, value);
+    return *this;
+}
+
+void write_log_text(log_level level, const std::string& text)
+{
+    BOOST_LOG_STREAM_WITH_PARAMS(
+        logging::trivial::logger::get(), (logging::keywords::severity = level))
+        << text;
+}
+
+void append_log_field(
+    std::string& text, std::string_view key, std::string_view value)
+{
+    if (!text.empty())
     {
-        this->text += ' ';
+        text += ' ';
     }
-    this->text += key;
-    this->text += '=';
+    text += key;
+    text += '=';
     const bool quoted =
         value.empty() || value.find_first_of(" \"=\n") != value.npos;
     if (!quoted)
     {
-        this->text += value;
-        return *this;
+        text += value;
+        return;
     }
-    this->text += '"';
+    text += '"';
     for (const char symbol : value)
     {
         const bool special = symbol == '"' || symbol == '\\';
-        this->text += special ? "\\" : "";
-        this->text += symbol == '\n' ? ' ' : symbol;
+        text += special ? "\\" : "";
+        text += symbol == '\n' ? ' ' : symbol;
     }
-    this->text += '"';
-    return *this;
+    text += '"';
 }
 
 } // namespace masticslip
--- a/src/telemetry/log.hpp
+++ b/src/telemetry/log.hpp
@@ -32,6 +32,14 @@
 /// Returns the level with this name; false if there is none.
 bool parse_log_level(std::string_view text, log_level& level);
 
+/// Appends ` key=value` to the fields of a line; the value is quoted if it
+/// holds blanks or quotes. Thread-safe.
+void append_log_field(
+    std::string& text, std::string_view key, std::string_view value);
+
+/// Writes a line whose fields are complete. Thread-safe.
+void write_log_text(log_level level, const std::string& text);
+
 /// Collects the fields of one line and writes it when destroyed.
 /// Thread-safe between lines.
 class log_line
--- a/standins/flow/virtual_callers.cpp
+++ b/standins/flow/virtual_callers.cpp
@@ -104,6 +104,7 @@
         {first_caller + number / ports_per_caller,
          static_cast<std::uint16_t>(first_port + number % ports_per_caller)},
         this->classes[item.class_index].target};
+    item.last_flow = *item.flow;
     item.open = false;
     item.caller_sequence = first_sequence;
     this->by_flow[*item.flow] = index;
@@ -270,6 +271,7 @@
     if (!served)
     {
         ++result.failed;
+        this->failed.push_back(item.last_flow);
     }
     else if (taken <= kind.target_latency)
     {
@@ -278,6 +280,7 @@
     else
     {
         ++result.late;
+        this->late.push_back(item.last_flow);
     }
     if (served)
     {
--- a/standins/flow/virtual_callers.hpp
+++ b/standins/flow/virtual_callers.hpp
@@ -69,6 +69,17 @@
         return this->by_class;
     }
 
+    /// Last flows of requests that were not answered, or answered late.
+    [[nodiscard]] const std::vector<flow_ends>& failed_flows() const
+    {
+        return this->failed;
+    }
+
+    [[nodiscard]] const std::vector<flow_ends>& late_flows() const
+    {
+        return this->late;
+    }
+
     /// Work that a request takes at its upstream.
     [[nodiscard]] duration work_of(std::uint64_t request) const;
 
@@ -80,6 +91,7 @@
     {
         std::size_t class_index = 0;
         std::optional<flow_ends> flow;
+        flow_ends last_flow;
         bool open = false;
         std::uint32_t caller_sequence = 0;
         std::uint32_t upstream_sequence = 0;
@@ -115,6 +127,8 @@
     std::map<std::string, class_result> by_class;
     std::map<std::uint64_t, duration> work;
     std::vector<ended_request> ended;
+    std::vector<flow_ends> failed;
+    std::vector<flow_ends> late;
     std::uint64_t next_request = 1;
     std::uint32_t next_port = 0;
 };
--- a/standins/flow/virtual_flow_fleet.cpp
+++ b/standins/flow/virtual_flow_fleet.cpp
@@ -1,8 +1,11 @@
 #include "virtual_flow_fleet.hpp"
 
 #include "masticslip/core/rendezvous.hpp"
+#include "node/flow_telemetry.hpp"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 
 namespace masticslip::standin
 {
@@ -36,19 +39,15 @@
 
 } // namespace
 
-class virtual_flow_fleet::event_counter final : public flow_event_sink
+struct virtual_flow_fleet::entry_process final : entry_flow_output
 {
-public:
-    void on_event(time_point, const flow_event& event) override
+    entry_process(virtual_flow_fleet& owner, std::string label)
+        : fleet(&owner), name(std::move(label)),
+          events([this](const std::string& text)
+                 { this->fleet->write_log(this->name, text); })
     {
-        ++this->counts.at(static_cast<std::size_t>(event.kind));
     }
 
-    std::array<std::uint64_t, flow_event_count> counts{};
-};
-
-struct virtual_flow_fleet::entry_process final : entry_flow_output
-{
     void send_packet(const endpoint& companion, byte_view packet) override
     {
         this->fleet->send_packet_to_companion(this->index, companion, packet);
@@ -69,7 +68,9 @@
         this->fleet->fetch(from, this->id);
     }
 
-    virtual_flow_fleet* fleet = nullptr;
+    virtual_flow_fleet* fleet;
+    std::string name;
+    flow_telemetry events;
     std::size_t index = 0;
     instance_id id;
     std::uint32_t domain = 0;
@@ -85,6 +86,13 @@
 
 struct virtual_flow_fleet::companion_process final : companion_flow_output
 {
+    companion_process(virtual_flow_fleet& owner, std::string label)
+        : fleet(&owner), name(std::move(label)),
+          events([this](const std::string& text)
+                 { this->fleet->write_log(this->name, text); })
+    {
+    }
+
     void send_to_upstream(byte_view packet) override
     {
         this->fleet->to_host(this->index, packet);
@@ -114,7 +122,9 @@
     {
     }
 
-    virtual_flow_fleet* fleet = nullptr;
+    virtual_flow_fleet* fleet;
+    std::string name;
+    flow_telemetry events;
     std::size_t index = 0;
     instance_id id;
     endpoint packets;
@@ -172,8 +182,7 @@
           this->queue,
           seed + 1,
           [this](const virtual_packet& packet)
-          { this->route_to_entry(packet); }),
-      events(std::make_unique<event_counter>())
+          { this->route_to_entry(packet); })
 {
     this->publish_policy();
     std::uint32_t placed = 0;
@@ -214,7 +223,16 @@
 
 std::uint64_t virtual_flow_fleet::count(flow_event_kind kind) const
 {
-    return this->events->counts.at(static_cast<std::size_t>(kind));
+    std::uint64_t result = 0;
+    for (const auto& process : this->entries)
+    {
+        result += process->events.count_of(kind);
+    }
+    for (const auto& process : this->companions)
+    {
+        result += process->events.count_of(kind);
+    }
+    return result;
 }
 
 void virtual_flow_fleet::start_load(
@@ -237,6 +255,25 @@
     this->queue.run_until(this->queue.now() + until);
 }
 
+void virtual_flow_fleet::write_log(
+    const std::string& process, const std::string& text)
+{
+    constexpr std::size_t line_size = 64;
+    std::array<char, line_size> time{};
+    const auto micros = this->queue.now().time_since_epoch().count();
+    constexpr std::int64_t per_second = 1'000'000;
+    constexpr std::int64_t per_minute = 60;
+    const std::int64_t seconds = micros / per_second;
+    std::snprintf(
+        time.data(), time.size(), "time=2026-01-01T%02d:%02d:%02d.%06d",
+        static_cast<int>(seconds / per_minute / per_minute),
+        static_cast<int>(seconds / per_minute % per_minute),
+        static_cast<int>(seconds % per_minute),
+        static_cast<int>(micros % per_second));
+    this->log_text +=
+        process + " " + time.data() + " level=info " + text + "\n";
+}
+
 void virtual_flow_fleet::report(const std::string& text)
 {
     const auto seconds = std::chrono::duration<double>(
@@ -248,8 +285,8 @@
 
 void virtual_flow_fleet::add_entry()
 {
-    auto created = std::make_unique<entry_process>();
-    created->fleet = this;
+    auto created = std::make_unique<entry_process>(
+        *this, "entry-" + std::to_string(this->entries.size()));
     created->index = this->entries.size();
     created->domain =
         static_cast<std::uint32_t>(created->index) % this->shape.domains;
@@ -268,7 +305,7 @@
     process.listed.clear();
     process.core = std::make_unique<entry_flow_core>(
         entry_flow_settings{domain_name(process.domain), 100'000}, process,
-        *this->events);
+        process.events);
     this->queue.after(store_delay, [this, index] { this->sync_store(index); });
     this->tick_entry(index, process.life);
 }
@@ -276,8 +313,8 @@
 void virtual_flow_fleet::create_companion(
     const std::string& service, std::uint32_t domain)
 {
-    auto created = std::make_unique<companion_process>();
-    created->fleet = this;
+    auto created = std::make_unique<companion_process>(
+        *this, "side-" + std::to_string(this->companions.size()));
     created->index = this->companions.size();
     created->domain = domain;
     created->service = service;
@@ -309,8 +346,8 @@
     settings.failure_domain = domain_name(process.domain);
     settings.packet_address = process.packets;
     settings.status_interval = status_interval;
-    process.core =
-        std::make_unique<companion_flow_core>(settings, process, *this->events);
+    process.core = std::make_unique<companion_flow_core>(
+        settings, process, process.events);
     this->queue.after(
         store_delay,
         [this, index]
--- a/standins/flow/virtual_flow_fleet.hpp
+++ b/standins/flow/virtual_flow_fleet.hpp
@@ -131,10 +131,15 @@
     /// Decisions so far.
     [[nodiscard]] std::uint64_t count(flow_event_kind kind) const;
 
+    /// The log lines of all processes.
+    [[nodiscard]] const std::string& log() const
+    {
+        return this->log_text;
+    }
+
 private:
     struct entry_process;
     struct companion_process;
-    class event_counter;
 
     void start_entry(std::size_t index);
     void start_companion(std::size_t index);
@@ -163,6 +168,7 @@
     [[nodiscard]] bool is_lost();
     [[nodiscard]] std::uint32_t domain_of(instance_id id) const;
     void report(const std::string& text);
+    void write_log(const std::string& process, const std::string& text);
     /// Runs work of a process unless it is frozen or has ended.
     template <class Process, class Work>
     void run_on(Process& process, Work work);
@@ -171,7 +177,7 @@
     std::mt19937_64 random;
     event_queue queue;
     virtual_callers clients;
-    std::unique_ptr<event_counter> events;
+    std::string log_text;
     std::vector<std::unique_ptr<entry_process>> entries;
     std::vector<std::unique_ptr<companion_process>> companions;
     std::map<instance_id, std::size_t> entry_ids;
