Point to the owners of flows that stay open; keep open flows through late openings

Changes: an entry tells the first three companions by rank of a flow that is open for 1 s who owns it, and a look-up asks these first. An opening with the sequence number of an open flow is answered with flow_opened and not passed on; half-open flows are remembered for 5 s.

--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -142,6 +142,8 @@
         bool caller_closed = false;
         bool upstream_closed = false;
         instance_id entry;
+        /// Sequence number of the caller's opening packet.
+        std::uint32_t opening_sequence = 0;
         /// First and newest sequence numbers seen of the upstream.
         std::uint32_t first_sequence = 0;
         std::uint32_t upstream_sequence = 0;
@@ -178,6 +180,9 @@
     void set_state(flow_record& flow, flow_state state);
     [[nodiscard]] ownership
     ownership_of(const flow_ends& flow, std::uint32_t acknowledged) const;
+    [[nodiscard]] owner_answer answer_of(const owner_query& query) const;
+    void take_hint(time_point now, const owner_hint& hint);
+    void forget_hints(time_point now);
     void
     on_hello(time_point now, instance_id sender, const entry_hello& message);
     [[nodiscard]] companion_report report(time_point now);
@@ -200,6 +205,13 @@
         flow_ends flow;
     };
 
+    /// Which companion holds a flow, as an entry said.
+    struct owner_pointer
+    {
+        instance_id owner;
+        time_point told;
+    };
+
     struct known_entry
     {
         time_point heard;
@@ -215,10 +227,13 @@
     detail::freeze_guard freeze;
     flow_table flows;
     std::deque<reservation> reservations;
+    boost::unordered_flat_map<flow_ends, owner_pointer, std::hash<flow_ends>>
+        pointers;
     std::map<instance_id, known_entry> entries;
     std::uint32_t in_flight = 0;
     std::uint32_t open_flows = 0;
     time_point next_sweep;
+    time_point next_pointer_sweep;
     bool stopping = false;
     bool was_withdrawn = false;
     result_code last_refusal = result_code::not_run_no_upstream;
--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -124,7 +124,10 @@
         bool confirmed = false;
         /// The companion asks its upstream whether it holds the flow.
         bool is_probe = false;
+        /// The first companions by rank were told the owner.
+        bool is_hinted = false;
         bool closing = false;
+        time_point known_since;
         time_point last_packet;
     };
 
@@ -200,6 +203,7 @@
     void expire_openings(time_point now);
     void expire_look_ups(time_point now);
     void forget_flows(time_point now);
+    void hint_owner(const flow_ends& flow, flow_record& record);
     void forget_members(time_point now);
     void emit(
         time_point now,
--- a/include/masticslip/flow/flow_messages.hpp
+++ b/include/masticslip/flow/flow_messages.hpp
@@ -97,6 +97,16 @@
 {
     flow_ends flow;
     ownership answer = ownership::absent;
+    /// Which companion owns it, as an entry has said; zero: not known.
+    instance_id owner{};
+};
+
+/// Entry to the first companions by rank of a flow: who owns it, so that an
+/// entry which does not know the flow need not ask all.
+struct owner_hint
+{
+    flow_ends flow;
+    instance_id owner;
 };
 
 /// A caller's packet that belongs to a flow of another upstream.
@@ -113,6 +123,7 @@
     flow_refused,
     owner_query,
     owner_answer,
-    packet_returned>;
+    packet_returned,
+    owner_hint>;
 
 } // namespace masticslip
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -12,8 +12,9 @@
 constexpr std::chrono::milliseconds freeze_limit{1'000};
 /// A frozen process waits at most this long for an entry to confirm its policy.
 constexpr std::chrono::seconds freeze_give_up{4};
-/// A caller gives up an opening after its last copy, 1.4 s after the first.
-constexpr std::chrono::milliseconds half_open_limit{1'500};
+/// A caller gives up an opening after 1.4 s; one that was accepted at the last
+/// moment may need some retransmissions to go on.
+constexpr std::chrono::seconds half_open_limit{5};
 /// How long ended and absent flows are remembered, so that late packets do not
 /// start a look-up.
 constexpr std::chrono::seconds ended_limit{5};
@@ -35,6 +36,10 @@
 /// it may have restarted and know nobody.
 constexpr std::chrono::milliseconds entry_silence{1'500};
 constexpr std::chrono::milliseconds sweep_interval{500};
+/// Pointers live as long as flows may; a late removal does no harm.
+constexpr std::chrono::seconds pointer_sweep_interval{5};
+/// Most flows of others that are pointed to: some 4 MB.
+constexpr std::size_t max_pointers = 50'000;
 /// Idle flows are forgotten after this time if the policy states none.
 constexpr std::chrono::seconds default_idle_limit{15};
 
@@ -170,8 +175,19 @@
     time_point now, instance_id entry, const flow_packet& packet)
 {
     const auto found = this->flows.find(packet.flow);
-    const bool is_copy = found != this->flows.end() &&
-                         found->second.state == flow_state::half_open;
+    const bool is_known = found != this->flows.end() &&
+                          found->second.opening_sequence == packet.sequence;
+    if (is_known && found->second.state == flow_state::open)
+    {
+        // A late copy; the entry has not heard of the acceptance.
+        this->output.send(
+            entry,
+            flow_opened{
+                packet.flow, found->second.first_sequence, this->load(now)});
+        return;
+    }
+    const bool is_copy =
+        is_known && found->second.state == flow_state::half_open;
     const result_code code = this->admission(now, packet);
     const bool limits_only = code == result_code::not_run_upstream_cold ||
                              code == result_code::not_run_overloaded;
@@ -194,6 +210,7 @@
     {
         flow.created = now;
         flow.is_reserved = true;
+        flow.opening_sequence = packet.sequence;
         flow.caller_sequence = packet.sequence;
         this->set_waiting(flow, true);
         this->reservations.push_back({now, packet.flow});
@@ -501,10 +518,47 @@
     }
     else if (const auto* query = std::get_if<owner_query>(&message))
     {
-        this->output.send(
-            sender, owner_answer{
-                        query->flow,
-                        this->ownership_of(query->flow, query->acknowledged)});
+        this->output.send(sender, this->answer_of(*query));
+    }
+    else if (const auto* hint = std::get_if<owner_hint>(&message))
+    {
+        this->take_hint(now, *hint);
+    }
+}
+
+owner_answer companion_flow_core::answer_of(const owner_query& query) const
+{
+    owner_answer result;
+    result.flow = query.flow;
+    result.answer = this->ownership_of(query.flow, query.acknowledged);
+    const auto found = this->pointers.find(query.flow);
+    if (found != this->pointers.end())
+    {
+        result.owner = found->second.owner;
+    }
+    return result;
+}
+
+void companion_flow_core::take_hint(time_point now, const owner_hint& hint)
+{
+    if (this->pointers.size() < max_pointers)
+    {
+        this->pointers[hint.flow] = {hint.owner, now};
+    }
+}
+
+void companion_flow_core::forget_hints(time_point now)
+{
+    for (auto item = this->pointers.begin(); item != this->pointers.end();)
+    {
+        if (now - item->second.told > this->settings.flow_age_limit)
+        {
+            this->pointers.erase(item++);
+        }
+        else
+        {
+            ++item;
+        }
     }
 }
 
@@ -643,6 +697,11 @@
         this->next_sweep = now + sweep_interval;
         this->forget_flows(now);
     }
+    if (now >= this->next_pointer_sweep)
+    {
+        this->next_pointer_sweep = now + pointer_sweep_interval;
+        this->forget_hints(now);
+    }
 }
 
 void companion_flow_core::on_stop(time_point now)
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -13,6 +13,13 @@
 /// Companions among which a flow is placed, and that are asked at once in a
 /// look-up.
 constexpr std::size_t look_up_width = 64;
+/// Companions by rank that are told the owner of a flow, and are asked first.
+constexpr std::size_t hint_width = 3;
+/// Flows that are open for this long are worth a hint: most of those with one
+/// request have ended.
+constexpr std::chrono::seconds hint_after{1};
+/// Wait for the first companions' answers before all others are asked.
+constexpr std::chrono::milliseconds hint_timeout{30};
 /// Times that a look-up asks the next companions. New members move others to
 /// lower ranks, so an owner may be beyond the first.
 constexpr std::size_t max_waves = 4;
@@ -416,6 +423,7 @@
     }
     flow.companion = sender;
     flow.confirmed = true;
+    flow.known_since = now;
     flow.last_packet = now;
     this->emit(
         now, flow_event_kind::flow_opened, message.flow, sender,
@@ -491,16 +499,19 @@
 void entry_flow_core::ask_owners(
     time_point now, const flow_ends& flow, look_up& item)
 {
-    item.deadline = now + look_up_timeout;
     const std::size_t service_size =
         this->directory.of_service(item.service).size();
     const bool may_repeat = this->may_repeat(flow);
-    while (item.pending.empty() && item.waves < max_waves &&
-           item.waves * look_up_width < service_size)
-    {
+    std::size_t width = 0;
+    while (item.pending.empty() && item.waves <= max_waves &&
+           width < service_size)
+    {
+        // The first wave asks those that were told the owner.
+        width = item.waves == 0 ? hint_width : item.waves * look_up_width;
+        item.deadline =
+            now + (item.waves == 0 ? hint_timeout : look_up_timeout);
         ++item.waves;
-        const auto ids = this->ranked_companions(
-            item.service, flow, item.waves * look_up_width);
+        const auto ids = this->ranked_companions(item.service, flow, width);
         for (const instance_id id : ids)
         {
             const directory_member& member = *this->directory.find(id);
@@ -514,7 +525,7 @@
             }
         }
     }
-    item.is_complete = item.waves * look_up_width >= service_size;
+    item.is_complete = width >= service_size;
     const owner_query query{flow, item.acknowledged};
     for (const instance_id id : item.pending)
     {
@@ -543,12 +554,19 @@
         this->settle_owner(now, message.flow, sender, true);
         return;
     }
+    if (!contains(item.absent, message.owner) &&
+        this->directory.find(message.owner) != nullptr)
+    {
+        // If it is wrong, the companion returns the packets.
+        this->settle_owner(now, message.flow, message.owner, true);
+        return;
+    }
     remove(item.pending, sender);
     if (message.answer == ownership::uncertain)
     {
         item.uncertain.push_back(sender);
     }
-    else
+    else if (!contains(item.absent, sender))
     {
         item.absent.push_back(sender);
     }
@@ -561,8 +579,10 @@
 void entry_flow_core::finish_look_up(time_point now, const flow_ends& flow)
 {
     look_up& item = this->look_ups[flow];
-    if (item.pending.empty() && !item.is_complete)
+    const bool first_wave_ended = item.waves == 1;
+    if (!item.is_complete && (item.pending.empty() || first_wave_ended))
     {
+        item.pending.clear();
         this->ask_owners(now, flow, item);
         if (!item.pending.empty())
         {
@@ -608,6 +628,7 @@
     record.companion = owner;
     record.confirmed = sure;
     record.is_probe = !sure;
+    record.known_since = now;
     record.last_packet = now;
     this->emit(
         now, flow_event_kind::owner_found, flow, owner, result_code::done,
@@ -810,6 +831,13 @@
         const flow_record& flow = item->second;
         const duration limit =
             flow.closing ? duration(closing_limit) : idle_limit;
+        const bool deserves_hint = flow.confirmed && !flow.is_hinted &&
+                                   !flow.closing &&
+                                   now - flow.known_since >= hint_after;
+        if (deserves_hint)
+        {
+            this->hint_owner(item->first, item->second);
+        }
         const bool is_excess =
             this->flows.size() > this->settings.max_flows && flow.closing;
         if (is_excess || now - flow.last_packet > limit)
@@ -823,6 +851,25 @@
     }
 }
 
+void entry_flow_core::hint_owner(const flow_ends& flow, flow_record& record)
+{
+    record.is_hinted = true;
+    const directory_member* owner = this->directory.find(record.companion);
+    if (owner == nullptr)
+    {
+        return;
+    }
+    const owner_hint hint{flow, record.companion};
+    for (const instance_id id :
+         this->ranked_companions(owner->service, flow, hint_width))
+    {
+        if (id != record.companion)
+        {
+            this->output.send(id, hint);
+        }
+    }
+}
+
 void entry_flow_core::forget_members(time_point now)
 {
     std::vector<instance_id> gone;
--- a/src/wire/flow_message_codec.cpp
+++ b/src/wire/flow_message_codec.cpp
@@ -108,6 +108,14 @@
 {
     ends_field(archive, message.flow);
     enumeration(archive, message.answer, ownership::owned);
+    wrapped(archive, message.owner);
+}
+
+template <class Archive, is_message<owner_hint> Message>
+void flow_fields(Archive& archive, Message& message)
+{
+    ends_field(archive, message.flow);
+    wrapped(archive, message.owner);
 }
 
 template <class Archive, is_message<packet_returned> Message>
--- a/tests/flow/companion_flow_core_test.cpp
+++ b/tests/flow/companion_flow_core_test.cpp
@@ -316,6 +316,39 @@
     BOOST_TEST(output.resets.size() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    a_late_copy_of_an_opening_does_not_replace_the_open_flow, companion_fixture)
+{
+    make_ready();
+    open(test_flow(1), at(10ms));
+    const std::size_t before = output.to_upstream;
+
+    core.on_caller_packet(at(300ms), entry, opening_packet(test_flow(1)));
+    for (auto now = 400ms; now <= 8'000ms; now += 200ms)
+    {
+        core.on_tick(at(now));
+    }
+    core.on_caller_packet(
+        at(8'000ms), entry, data_packet(test_flow(1), 1'101, 5'001));
+
+    BOOST_TEST(output.to_upstream == before + 1);
+    BOOST_TEST(messages_of<packet_returned>(output.sent).empty());
+    BOOST_TEST(messages_of<flow_opened>(output.sent).size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_port_that_is_used_anew_is_a_new_flow, companion_fixture)
+{
+    make_ready();
+    open(test_flow(1), at(10ms));
+    flow_packet packet = opening_packet(test_flow(1));
+    packet.sequence += 500'000;
+    const std::size_t before = output.to_upstream;
+    core.on_caller_packet(at(300ms), entry, packet);
+    BOOST_TEST(output.to_upstream == before + 1);
+    BOOST_TEST(core.load(at(300ms)).open_flows == 0U);
+}
+
 BOOST_FIXTURE_TEST_CASE(
     a_packet_that_acknowledges_another_upstream_is_returned, companion_fixture)
 {
@@ -441,4 +474,17 @@
         static_cast<int>(answers[0].answer) == static_cast<int>(item.expected));
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    a_companion_points_to_the_owner_it_was_told, companion_fixture)
+{
+    make_ready();
+    const instance_id owner{77};
+    core.on_message(at(10ms), entry, owner_hint{test_flow(1), owner});
+    core.on_message(at(20ms), entry, owner_query{test_flow(1), 1});
+    const auto answers = messages_of<owner_answer>(output.sent);
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST((answers[0].answer == ownership::absent));
+    BOOST_TEST((answers[0].owner == owner));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
