Read changes of the member list together; share the wait for operators' changes

Change: an entry waits 1 s after a change of the member list and 0.2 s after one of the operators before it asks again; waits for the list last 10 s, those for operators 0.4 s for each entry that companions hear, 2.5 to 10 s.

--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -108,6 +108,12 @@
         return this->directory;
     }
 
+    /// Entries that companions hear, this one among them; zero: not known.
+    [[nodiscard]] std::uint32_t entry_count() const
+    {
+        return this->known_entries;
+    }
+
     [[nodiscard]] std::size_t flow_count() const
     {
         return this->flows.size();
@@ -226,6 +232,7 @@
     time_point next_sweep;
     /// Time of the newest report of any companion.
     time_point last_heard;
+    std::uint32_t known_entries = 0;
     bool heard_companion = false;
 };
 
--- a/include/masticslip/flow/flow_messages.hpp
+++ b/include/masticslip/flow/flow_messages.hpp
@@ -52,6 +52,8 @@
     endpoint packet_address;
     upstream_load load;
     std::uint64_t policy_revision = 0;
+    /// Entries that the companion has heard lately.
+    std::uint32_t entry_count = 0;
     /// The companion is about to stop; its upstream stays if it restarts.
     bool is_stopping = false;
     /// The upstream has gone for good.
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -689,6 +689,7 @@
     const directory_member* known = this->directory.find(sender);
     const bool was_silent = known != nullptr && known->is_silent;
     this->last_heard = now;
+    this->known_entries = message.entry_count;
     const bool is_new = this->directory.on_report(now, sender, message);
     this->heard_companion = true;
     if (is_new || was_silent)
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -3,6 +3,8 @@
 #include "member_document.hpp"
 #include "telemetry/log.hpp"
 
+#include <algorithm>
+
 namespace masticslip
 {
 
@@ -13,8 +15,16 @@
 /// a silent connection is noticed, so it stays below the time within which a
 /// configuration must be in force.
 constexpr std::chrono::milliseconds operator_wait{2'500};
-/// The same for the list of companions, which also speak for themselves.
-constexpr std::chrono::milliseconds member_wait{5'000};
+/// Added for each further entry beyond a few: they tell each other through
+/// companions, and some entry's wait ends within a fraction of this.
+constexpr std::chrono::milliseconds operator_wait_per_entry{400};
+constexpr std::chrono::milliseconds max_operator_wait{10'000};
+/// Changes of operators that come together are read together.
+constexpr std::chrono::milliseconds operator_settle{200};
+/// The same for the list of companions, which also speak for themselves: a new
+/// one is cold at first.
+constexpr std::chrono::milliseconds member_wait{10'000};
+constexpr std::chrono::milliseconds member_settle{1'000};
 /// An entry that stops goes on forwarding until the fabric has noticed.
 constexpr std::chrono::milliseconds linger{2'000};
 /// Memory that one remembered flow may take, with slack in the table.
@@ -47,14 +57,14 @@
                               context,
                               store,
                               member_prefix(),
-                              member_wait,
+                              {member_wait, member_settle},
                               [this](const auto& items, std::uint64_t)
                               { this->on_members(items); }),
       operators(
           context,
           store,
           policies.prefix(),
-          operator_wait,
+          {operator_wait, operator_settle},
           [this](const auto& items, std::uint64_t revision)
           { this->on_operator_values(items, revision); }),
       exit_timer(context)
@@ -128,6 +138,10 @@
 void entry_node::on_tick(time_point now)
 {
     this->core.on_tick(now);
+    const auto shared_wait =
+        operator_wait_per_entry * static_cast<int>(this->core.entry_count());
+    this->operators.set_wait(std::clamp<std::chrono::milliseconds>(
+        shared_wait, operator_wait, max_operator_wait));
 }
 
 std::optional<time_point> entry_node::next_deadline() const
--- a/src/node/store_mirror.cpp
+++ b/src/node/store_mirror.cpp
@@ -69,7 +69,7 @@
 asio::awaitable<bool> store_mirror::follow()
 {
     auto result = co_await this->store.wait_for_changes(
-        this->prefix, this->revision, this->wait);
+        this->prefix, this->revision, this->times.wait);
     if (result.status == store_status::compacted)
     {
         log_line(log_level::info, "history_dropped")
@@ -99,6 +99,10 @@
     if (!result.value->events.empty())
     {
         this->on_change(this->values, this->revision);
+        if (this->times.settle.count() > 0)
+        {
+            co_await this->pause(this->times.settle);
+        }
     }
     co_return true;
 }
--- a/src/node/store_mirror.hpp
+++ b/src/node/store_mirror.hpp
@@ -28,17 +28,32 @@
         const std::map<std::string, std::string>& values,
         std::uint64_t revision)>;
 
-    /// `wait` is how long one call waits for changes: the time after which a
-    /// connection that has gone silent is noticed.
+    /// Times of a mirror.
+    struct pace
+    {
+        /// How long one call waits for changes: the time after which a
+        /// connection that has gone silent is noticed.
+        std::chrono::milliseconds wait{2'500};
+        /// Pause after a change, so that changes which come together cost one
+        /// call.
+        std::chrono::milliseconds settle{0};
+    };
+
     store_mirror(
         boost::asio::io_context& context,
         key_value_store& store,
         std::string prefix,
-        std::chrono::milliseconds wait,
+        pace times,
         change_handler on_change)
-        : context(context), store(store), prefix(std::move(prefix)), wait(wait),
-          on_change(std::move(on_change))
+        : context(context), store(store), prefix(std::move(prefix)),
+          times(times), on_change(std::move(on_change))
+    {
+    }
+
+    /// Changes how long the next calls wait.
+    void set_wait(std::chrono::milliseconds wait)
     {
+        this->times.wait = wait;
     }
 
     /// Begins to read. Call once.
@@ -61,7 +76,7 @@
     boost::asio::io_context& context;
     key_value_store& store;
     std::string prefix;
-    std::chrono::milliseconds wait;
+    pace times;
     change_handler on_change;
     std::map<std::string, std::string> values;
     std::uint64_t revision = 0;
--- a/src/wire/flow_message_codec.cpp
+++ b/src/wire/flow_message_codec.cpp
@@ -76,6 +76,7 @@
     endpoint_field(archive, message.packet_address);
     load_field(archive, message.load);
     archive.plain(message.policy_revision);
+    archive.plain(message.entry_count);
     archive.plain(message.is_stopping);
     archive.plain(message.has_left);
 }
--- a/standins/flow/virtual_flow_fleet.hpp
+++ b/standins/flow/virtual_flow_fleet.hpp
@@ -185,6 +185,7 @@
     std::map<endpoint, std::size_t> packet_addresses;
     std::set<instance_id> registered;
     std::set<std::pair<std::uint32_t, std::uint32_t>> cuts;
+    time_point healed_at;
     std::set<std::string> withdrawn;
     std::map<std::string, time_point> withdrawn_since;
     std::shared_ptr<const policy> newest;
