--- /dev/null
+++ b/fuzz/flow_targets.cpp
@@ -0,0 +1,189 @@
+#include "flow_targets.hpp"
+
+#include "flow/recorded_outputs.hpp"
+#include "log_story.hpp"
+#include "masticslip/wire/flow_message_codec.hpp"
+#include "node/member_document.hpp"
+#include "operator_documents.hpp"
+#include "packet_head.hpp"
+#include "settings_file.hpp"
+#include "upstream_status_endpoint.hpp"
+
+namespace masticslip::testing
+{
+
+namespace
+{
+
+using namespace masticslip::test;
+
+constexpr const char* status_text =
+    R"({"service":"a","address":"10.1.0.9:8080","zone":"z","version":"v1",)"
+    R"("concurrency":5,"state":"ready","warmup_left_ms":9,"sequence":4,)"
+    R"("born":1700000000123})";
+constexpr const char* document_text =
+    R"({"version":7,"routes":[{"name":"r","hostname":"198.18.0.1",)"
+    R"("prefix":"/8443/","type":"safe","timeout_ms":1000,"service":"a"}],)"
+    R"("services":[{"name":"a","warmup_per_s":4.5}],)"
+    R"("limits":{"idle_timeout_ms":15000}})";
+constexpr const char* settings_text =
+    "node_name=n\nzone=z\nbind_addrs.datagram_addr=10.1.0.10:8172\n"
+    "bind_addrs.readiness_addr=10.1.0.10:8167\nport_range=7720,7735\n"
+    "platform.address=10.200.1.7:8169\napp=10.1.0.12:8165\nservice=a\n"
+    "bind_addrs.outbound=10.1.0.12:8162\n"
+    "bind_addrs.control_plane=10.1.0.12:8166\n";
+constexpr const char* log_text =
+    "m time=2026-01-01T00:00:01.250000 event=flow_placed flow=c>t "
+    "peer=2.2.2.2:2 reason=\"a b\"\n";
+
+std::vector<flow_message> message_samples(mutator& inputs)
+{
+    const flow_ends flow =
+        test_flow(static_cast<std::uint16_t>(inputs.next() % 20));
+    const auto number = static_cast<std::uint32_t>(inputs.next());
+    upstream_load load;
+    load.refusal = inputs.next() % 2 == 0 ? result_code::done
+                                          : result_code::not_run_overloaded;
+    load.in_flight = number % 30;
+    load.is_cold = number % 3 == 0;
+    companion_report report;
+    report.service = number % 2 == 0 ? "meetups" : "papers";
+    report.load = load;
+    report.is_stopping = number % 7 == 0;
+    report.has_left = number % 11 == 0;
+    report.policy_revision = number % 4;
+    return {
+        entry_hello{number % 4, number % 5 != 0},
+        report,
+        flow_opened{flow, number, load},
+        flow_refused{flow, result_code::not_run_upstream_cold, load},
+        owner_query{flow, number % 3 == 0 ? 5'001 : number},
+        owner_answer{flow, static_cast<ownership>(number % 3), {number % 9}},
+        packet_returned{packet_bytes()},
+        owner_hint{flow, {number % 9}}};
+}
+
+flow_packet random_packet(mutator& inputs)
+{
+    flow_packet packet = data_packet(
+        test_flow(static_cast<std::uint16_t>(inputs.next() % 20)),
+        static_cast<std::uint32_t>(inputs.next() % 3'000),
+        inputs.next() % 2 == 0 ? 5'001
+                               : static_cast<std::uint32_t>(inputs.next()),
+        static_cast<std::uint16_t>(inputs.next() % 2 * 100));
+    const std::uint64_t flags = inputs.next();
+    packet.flags.opens = flags % 3 == 0;
+    packet.flags.acknowledges = flags % 2 == 0;
+    packet.flags.closes = flags % 5 == 0;
+    packet.flags.resets = flags % 17 == 0;
+    packet.flags.bounced = flags % 7 == 0;
+    return packet;
+}
+
+} // namespace
+
+void fuzz_flow_messages(mutator& inputs, std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        const auto samples = message_samples(inputs);
+        const bytes valid = encode_flow_message(samples[i % samples.size()]);
+        failure_reason reason;
+        static_cast<void>(decode_flow_message(inputs.mutate(valid), reason));
+        static_cast<void>(decode_flow_message(inputs.noise(), reason));
+    }
+}
+
+void fuzz_flow_cores(mutator& inputs, std::size_t count)
+{
+    recorded_events events;
+    recorded_entry entry_effects;
+    recorded_companion companion_effects;
+    entry_flow_core entry({"kgl-nyr", 100}, entry_effects, events);
+    companion_flow_core companion(
+        {"side-1", "meetups", "kgl-nyr", {1, 2}}, companion_effects, events);
+    entry.on_policy(at(std::chrono::milliseconds(0)), test_policy(1));
+    companion.on_policy(at(std::chrono::milliseconds(0)), test_policy(1));
+    time_point now = at(std::chrono::milliseconds(1));
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        now += duration(inputs.next() % 40'000);
+        const instance_id peer{inputs.next() % 9};
+        const auto samples = message_samples(inputs);
+        const auto& message = samples[inputs.next() % samples.size()];
+        entry.on_message(now, peer, message);
+        companion.on_message(now, peer, message);
+        entry.on_caller_packet(now, random_packet(inputs));
+        entry.on_returned_packet(now, peer, random_packet(inputs));
+        companion.on_caller_packet(now, peer, random_packet(inputs));
+        companion.on_upstream_packet(now, random_packet(inputs));
+        upstream_status status;
+        status.incarnation = {
+            "i", std::chrono::milliseconds(inputs.next() % 3)};
+        status.sequence = inputs.next() % 50;
+        status.is_draining = inputs.next() % 9 == 0;
+        companion.on_status(now, status);
+        entry.on_tick(now);
+        companion.on_tick(now);
+        entry_effects = {};
+        companion_effects = {};
+        events.events.clear();
+    }
+}
+
+void fuzz_platform(mutator& inputs, std::size_t count)
+{
+    const platform::packet_head_codec heads;
+    const platform::operator_documents documents;
+    const bytes reset = heads.encode_reset(test_flow(1), 7);
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        failure_reason reason;
+        const bytes datagram = inputs.mutate(reset);
+        if (heads.decode(datagram, packet_origin::upstream, reason))
+        {
+            static_cast<void>(heads.as_written(datagram));
+        }
+    }
+    fuzz_text(
+        inputs, count, status_text,
+        [](const std::string& text)
+        {
+            failure_reason reason;
+            static_cast<void>(platform::parse_status("i-1", text, reason));
+            static_cast<void>(platform::parse_departure("i-1", text));
+        });
+    fuzz_text(
+        inputs, count, document_text,
+        [&documents](const std::string& text)
+        {
+            failure_reason reason;
+            static_cast<void>(documents.translate(
+                {{"op/config", text}, {"op/evacuate/z", text}}, reason));
+        });
+    fuzz_text(
+        inputs, count, settings_text,
+        [](const std::string& text)
+        {
+            std::vector<std::string> faults;
+            static_cast<void>(platform::parse_settings(text, faults));
+        });
+    fuzz_text(
+        inputs, count,
+        serialize_member({{7}, "n", "meetups", "kgl-nyr", {1, 2}}),
+        [](const std::string& text)
+        {
+            failure_reason reason;
+            static_cast<void>(parse_member(text, reason));
+        });
+    fuzz_text(
+        inputs, count, log_text,
+        [](const std::string& text)
+        {
+            log_story story;
+            story.add("log", text);
+            static_cast<void>(story.clock_differences(story.of_flow("c>t")));
+        });
+}
+
+} // namespace masticslip::testing
--- a/fuzz/fuzz_targets.cpp
+++ b/fuzz/fuzz_targets.cpp
@@ -5,13 +5,15 @@
 //     fuzz_targets TARGET INPUTS SEED
 //
 // Targets: announcement, coap, wire, configuration, audit, entry, companion,
-// all.
+// flow, flow_cores, platform, all.
 
+#include "flow_targets.hpp"
 #include "libcoap_codec.hpp"
 #include "masticslip/core/companion_core.hpp"
 #include "masticslip/core/configuration.hpp"
 #include "masticslip/core/entry_core.hpp"
 #include "masticslip/wire/message_codec.hpp"
+#include "mutator.hpp"
 #include "platform/change_log.hpp"
 #include "support/silent_outputs.hpp"
 
@@ -41,76 +43,6 @@
     R"("withdrawn_domains":["b"],"presets":[{"name":"p","weights":{"a":2},)"
     R"("limits":{"max_in_flight":3}}],"preset_in_force":"p"})";
 
-/// Produces mutated inputs.
-class mutator
-{
-public:
-    explicit mutator(std::uint64_t seed) : random(seed)
-    {
-    }
-
-    std::uint64_t next()
-    {
-        return this->random();
-    }
-
-    bytes mutate(bytes input)
-    {
-        const std::uint64_t changes = 1 + this->random() % 6;
-        for (std::uint64_t i = 0; i < changes; ++i)
-        {
-            this->mutate_once(input);
-        }
-        return input;
-    }
-
-    bytes noise()
-    {
-        bytes result(this->random() % 120);
-        for (auto& octet : result)
-        {
-            octet = static_cast<std::uint8_t>(this->random());
-        }
-        return result;
-    }
-
-private:
-    void mutate_once(bytes& input)
-    {
-        if (input.empty())
-        {
-            input.push_back(0);
-        }
-        const std::size_t place = this->random() % input.size();
-        const auto at = input.begin() + static_cast<std::ptrdiff_t>(place);
-        switch (this->random() % 6)
-        {
-        case 0:
-            *at ^= static_cast<std::uint8_t>(1U << (this->random() % 8));
-            break;
-        case 1:
-            *at = static_cast<std::uint8_t>(this->random());
-            break;
-        case 2:
-            input.resize(place);
-            break;
-        case 3:
-            input.insert(at, static_cast<std::uint8_t>(this->random()));
-            break;
-        case 4:
-            *at = this->random() % 2 == 0 ? 0x00 : 0xff;
-            break;
-        default:
-            input.insert(input.end(), input.begin(), at);
-            break;
-        }
-        constexpr std::size_t longest = 4096;
-        input.resize(std::min(input.size(), longest));
-    }
-
-    std::mt19937_64 random;
-};
-
 std::vector<bytes> coap_samples()
 {
     const libcoap_codec codec;
@@ -213,19 +145,6 @@
     }
 }
 
-void fuzz_text(
-    mutator& inputs,
-    std::size_t count,
-    const std::string& sample,
-    const std::function<void(const std::string&)>& decode)
-{
-    for (std::size_t i = 0; i < count; ++i)
-    {
-        const bytes input = inputs.mutate({sample.begin(), sample.end()});
-        decode({input.begin(), input.end()});
-    }
-}
-
 void fuzz_configuration(mutator& inputs, std::size_t count)
 {
     fuzz_text(
@@ -334,6 +253,9 @@
         {"companion", fuzz_companion},
         {"configuration", fuzz_configuration},
         {"entry", fuzz_entry},
+        {"flow", fuzz_flow_messages},
+        {"flow_cores", fuzz_flow_cores},
+        {"platform", fuzz_platform},
         {"wire", fuzz_wire}};
     return table;
 }
--- a/src/node/companion_node.cpp
+++ b/src/node/companion_node.cpp
@@ -20,8 +20,8 @@
 /// Longest wait for the store when the key of a departed upstream is removed.
 constexpr std::chrono::milliseconds leave_limit{1'500};
 
-companion_flow_settings
-core_settings(const node_settings& settings, const companion_settings& role)
+companion_flow_settings core_settings(
+    const node_settings& settings, const companion_node_settings& role)
 {
     companion_flow_settings result;
     result.name = settings.name;
@@ -38,7 +38,7 @@
 companion_node::companion_node(
     asio::io_context& context,
     node_settings values,
-    companion_settings role_settings,
+    companion_node_settings role_settings,
     const packet_codec& codec,
     key_value_store& store)
     : flow_node(context, std::move(values), codec, store),
--- a/src/node/companion_node.hpp
+++ b/src/node/companion_node.hpp
@@ -17,7 +17,7 @@
     companion_node(
         boost::asio::io_context& context,
         node_settings settings,
-        companion_settings role_settings,
+        companion_node_settings role_settings,
         const packet_codec& codec,
         key_value_store& store);
 
@@ -54,7 +54,7 @@
     void on_upstream_datagram(const endpoint& sender, byte_view datagram);
     boost::asio::awaitable<void> leave();
 
-    companion_settings role;
+    companion_node_settings role;
     companion_flow_core core;
     datagram_socket upstream;
     member_registration registration;
--- a/src/node/node_settings.hpp
+++ b/src/node/node_settings.hpp
@@ -37,7 +37,7 @@
 };
 
 /// What only a companion has.
-struct companion_settings
+struct companion_node_settings
 {
     std::string service;
     /// The upstream takes packets here.
