--- a/src/node/store_mirror.cpp
+++ b/src/node/store_mirror.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds first_pause{100};
 /// Longest pause: the store's return is noticed within this time.
 constexpr std::chrono::milliseconds longest_pause{800};
+/// The same before the first read, when nothing can be served without it.
+constexpr std::chrono::milliseconds longest_first_pause{200};
 constexpr unsigned max_doublings = 3;
 
 } // namespace
@@ -39,8 +41,10 @@
         if (!done)
         {
             const auto doublings = std::min(this->failures, max_doublings);
+            const auto longest =
+                this->was_read ? longest_pause : longest_first_pause;
             co_await this->pause(
-                std::min(longest_pause, first_pause * (1U << doublings)));
+                std::min(longest, first_pause * (1U << doublings)));
         }
     }
 }
