Split the cores of the layer-4 path and the virtual fleet by job

The members stay; openings, look-ups and members of the entry, admission and flows of the companion, and the faults of the fleet have files of their own, each with its constants. No change of behaviour.

--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -206,6 +206,8 @@
         time_point now, instance_id sender, const companion_report& message);
     void greet(time_point now, directory_member& member);
     void greet_all(time_point now);
+    /// Greets those whose turn it is, and notes who stays silent.
+    void greet_due(time_point now);
     void expire_openings(time_point now);
     void expire_look_ups(time_point now);
     void forget_flows(time_point now);
--- /dev/null
+++ b/src/flow/companion_admission.cpp
@@ -0,0 +1,216 @@
+// The gate for new flows, and the load that it rests on.
+
+#include "masticslip/flow/companion_flow_core.hpp"
+
+#include <algorithm>
+
+namespace masticslip
+{
+
+namespace
+{
+
+/// A new flow counts as a request in flight for this long before its first
+/// data: several round trips to a caller. After that its caller pauses or has
+/// gone.
+constexpr std::chrono::milliseconds first_request_limit{50};
+/// Requests in flight for each slot of the upstream beyond which new flows go
+/// elsewhere: the upstream's own queue holds about three times its slots.
+constexpr std::uint32_t in_flight_per_slot = 4;
+/// The same for a cold upstream, which works more slowly.
+constexpr std::uint32_t cold_in_flight_per_slot = 2;
+
+} // namespace
+
+void companion_flow_core::on_opening(
+    time_point now, instance_id entry, const flow_packet& packet)
+{
+    const auto found = this->flows.find(packet.flow);
+    const bool is_known = found != this->flows.end() &&
+                          found->second.opening_sequence == packet.sequence;
+    if (is_known && found->second.state == flow_state::open)
+    {
+        // A late copy; the entry has not heard of the acceptance.
+        this->output.send(
+            entry,
+            flow_opened{
+                packet.flow, found->second.first_sequence, this->load(now)});
+        return;
+    }
+    const bool is_copy =
+        is_known && found->second.state == flow_state::half_open;
+    const result_code code = this->admission(now, packet);
+    const bool limits_only = code == result_code::not_run_upstream_cold ||
+                             code == result_code::not_run_overloaded;
+    if (code != result_code::done && !(is_copy && limits_only))
+    {
+        this->refuse(now, entry, packet, code);
+        return;
+    }
+    if (found != this->flows.end() && !is_copy)
+    {
+        // The caller uses the port anew.
+        this->set_waiting(found->second, false);
+        this->set_state(found->second, flow_state::ended);
+        this->flows.erase(found);
+    }
+    flow_record& flow = this->flows[packet.flow];
+    flow.entry = entry;
+    flow.last_packet = now;
+    if (!is_copy)
+    {
+        flow.created = now;
+        flow.is_reserved = true;
+        flow.opening_sequence = packet.sequence;
+        flow.caller_sequence = packet.sequence;
+        this->set_waiting(flow, true);
+        this->reservations.push_back({now, packet.flow});
+        this->cold_limit.note(now);
+    }
+    this->pass_to_upstream(now, packet);
+}
+
+result_code
+companion_flow_core::route_admission(const flow_packet& packet) const
+{
+    const policy& current = *this->policy_in_force;
+    if (!current.is_known())
+    {
+        return result_code::not_run_no_configuration;
+    }
+    const route_definition* route = current.find_route(packet.flow.target);
+    if (route == nullptr)
+    {
+        return result_code::not_run_no_route;
+    }
+    if (route->service != this->settings.service)
+    {
+        return result_code::dropped_wrong_service;
+    }
+    return current.value().is_withdrawn(this->settings.failure_domain)
+               ? result_code::not_run_domain_withdrawn
+               : result_code::done;
+}
+
+result_code
+companion_flow_core::admission(time_point now, const flow_packet& packet)
+{
+    if (this->stopping)
+    {
+        return result_code::not_run_no_upstream;
+    }
+    if (this->freeze.must_wait(now))
+    {
+        return result_code::dropped_stale;
+    }
+    const result_code route = this->route_admission(packet);
+    if (route != result_code::done)
+    {
+        return route;
+    }
+    const upstream_load current = this->load(now);
+    if (current.refusal != result_code::done)
+    {
+        return current.refusal;
+    }
+    if (current.is_cold && current.cold_room == 0)
+    {
+        return result_code::not_run_upstream_cold;
+    }
+    return result_code::done;
+}
+
+void companion_flow_core::refuse(
+    time_point now,
+    instance_id entry,
+    const flow_packet& packet,
+    result_code reason)
+{
+    this->emit(now, flow_event_kind::flow_refused, packet.flow, entry, reason);
+    this->output.send(
+        entry, flow_refused{packet.flow, reason, this->load(now)});
+}
+
+void companion_flow_core::expire_reservations(time_point now)
+{
+    while (!this->reservations.empty() &&
+           now - this->reservations.front().made > first_request_limit)
+    {
+        const reservation item = this->reservations.front();
+        this->reservations.pop_front();
+        const auto found = this->flows.find(item.flow);
+        if (found != this->flows.end() && found->second.created == item.made &&
+            found->second.is_reserved)
+        {
+            this->set_waiting(found->second, false);
+        }
+    }
+}
+
+upstream_load companion_flow_core::load(time_point now)
+{
+    this->expire_reservations(now);
+    upstream_load result;
+    result.in_flight = this->in_flight;
+    result.open_flows = this->open_flows;
+    const upstream_status* status = this->monitor.status();
+    result.concurrency =
+        status == nullptr ? 1 : std::max(1U, status->concurrency);
+    result.refusal = this->monitor.refusal(now);
+    result.is_cold = this->monitor.is_cold(now);
+    if (result.is_cold)
+    {
+        const auto* service = this->policy_in_force->find_service(
+            make_service_id(this->settings.service));
+        const double rate =
+            service == nullptr ? 0 : service->cold_flows_per_second;
+        const std::uint32_t bearable =
+            result.concurrency * cold_in_flight_per_slot;
+        const std::uint32_t slots_room =
+            bearable - std::min(bearable, this->in_flight);
+        // A rate of zero states no limit.
+        result.cold_room =
+            rate > 0 ? std::min(slots_room, this->cold_limit.room(now, rate))
+                     : slots_room;
+    }
+    const bool withdrawn = this->policy_in_force->value().is_withdrawn(
+        this->settings.failure_domain);
+    if (result.refusal == result_code::done && withdrawn)
+    {
+        result.refusal = result_code::not_run_domain_withdrawn;
+    }
+    else if (
+        result.refusal == result_code::done &&
+        this->in_flight >= result.concurrency * in_flight_per_slot)
+    {
+        result.refusal = result_code::not_run_overloaded;
+    }
+    return result;
+}
+
+companion_report companion_flow_core::report(time_point now)
+{
+    companion_report result;
+    result.name = this->settings.name;
+    result.service = this->settings.service;
+    result.failure_domain = this->settings.failure_domain;
+    result.packet_address = this->settings.packet_address;
+    result.load = this->load(now);
+    result.policy_revision = this->policy_in_force->revision();
+    result.entry_count = static_cast<std::uint32_t>(this->entries.size());
+    result.is_stopping = this->stopping;
+    result.has_left = this->monitor.has_departed();
+    return result;
+}
+
+void companion_flow_core::send_reports(time_point now)
+{
+    const flow_message message = this->report(now);
+    for (auto& [id, entry] : this->entries)
+    {
+        entry.reported = now;
+        this->output.send(id, message);
+    }
+}
+
+} // namespace masticslip
--- /dev/null
+++ b/src/flow/companion_flows.cpp
@@ -0,0 +1,290 @@
+// The flows of the upstream: what passes, and what it tells of their state.
+
+#include "masticslip/flow/companion_flow_core.hpp"
+
+namespace masticslip
+{
+
+namespace
+{
+
+/// A caller gives up an opening after 1.4 s; one that was accepted at the last
+/// moment may need some retransmissions to go on.
+constexpr std::chrono::seconds half_open_limit{5};
+/// How long ended and absent flows are remembered, so that late packets do not
+/// start a look-up.
+constexpr std::chrono::seconds ended_limit{5};
+/// Sequence numbers may differ by this much from what was last seen: the
+/// largest window of data in flight.
+constexpr std::uint32_t sequence_window = 76'800;
+/// Idle flows are forgotten after this time if the policy states none.
+constexpr std::chrono::seconds default_idle_limit{15};
+
+/// Signed distance of two sequence numbers.
+std::int32_t distance(std::uint32_t from, std::uint32_t to)
+{
+    return static_cast<std::int32_t>(to - from);
+}
+
+} // namespace
+
+void companion_flow_core::on_unknown_flow(
+    time_point now, instance_id entry, const flow_packet& packet)
+{
+    if (this->monitor.has_seen_whole_life())
+    {
+        this->return_packet(now, entry, packet);
+        return;
+    }
+    flow_record& flow = this->flows[packet.flow];
+    flow.state = flow_state::probing;
+    flow.entry = entry;
+    flow.created = now;
+    flow.last_packet = now;
+    this->pass_to_upstream(now, packet);
+}
+
+void companion_flow_core::return_packet(
+    time_point now, instance_id entry, const flow_packet& packet)
+{
+    this->emit(
+        now, flow_event_kind::packet_returned, packet.flow, entry,
+        result_code::dropped_unknown_flow);
+    this->output.send(
+        entry, packet_returned{{packet.raw.begin(), packet.raw.end()}});
+}
+
+void companion_flow_core::pass_to_upstream(
+    time_point now, const flow_packet& packet)
+{
+    const bool expects_answer = packet.flags.opens || packet.payload_size > 0;
+    if (expects_answer)
+    {
+        this->monitor.on_packet_sent(now);
+    }
+    this->output.send_to_upstream(packet.raw);
+}
+
+bool companion_flow_core::acknowledges(
+    const flow_record& flow, std::uint32_t number)
+{
+    const std::int32_t ahead = distance(flow.first_sequence, number);
+    return flow.accepted && ahead >= 0 &&
+           ahead <= static_cast<std::int32_t>(sequence_window);
+}
+
+void companion_flow_core::note_caller_data(
+    flow_record& flow, const flow_packet& packet)
+{
+    flow.caller_closed = flow.caller_closed || packet.flags.closes;
+    if (packet.flags.resets || (flow.caller_closed && flow.upstream_closed))
+    {
+        this->set_waiting(flow, false);
+        this->set_state(flow, flow_state::ended);
+        return;
+    }
+    const std::uint32_t end = packet.sequence + packet.payload_size;
+    const bool is_new = flow.state == flow_state::probing ||
+                        distance(flow.caller_sequence, end) > 0;
+    if (packet.payload_size == 0 || !is_new)
+    {
+        return;
+    }
+    flow.caller_sequence = end;
+    if (flow.state == flow_state::open)
+    {
+        flow.is_reserved = false;
+        this->set_waiting(flow, true);
+    }
+}
+
+void companion_flow_core::on_upstream_packet(
+    time_point now, const flow_packet& packet)
+{
+    this->observe(now);
+    this->monitor.on_packet_received(now);
+    if (packet.flags.bounced)
+    {
+        this->on_bounced(now, packet);
+        return;
+    }
+    flow_record& flow = this->flows[packet.flow];
+    if (flow.created == time_point{})
+    {
+        flow.created = now;
+        flow.state = flow_state::probing;
+    }
+    flow.last_packet = now;
+    if (packet.flags.opens)
+    {
+        this->on_accepted(now, flow, packet);
+    }
+    else
+    {
+        this->note_upstream_data(flow, packet);
+    }
+    this->output.send_to_caller(packet.flow.caller, packet.raw);
+}
+
+void companion_flow_core::on_accepted(
+    time_point now, flow_record& flow, const flow_packet& packet)
+{
+    const bool is_first = !flow.accepted;
+    flow.accepted = true;
+    flow.first_sequence = packet.sequence;
+    flow.upstream_sequence = packet.sequence;
+    if (!is_first || flow.entry.value == 0)
+    {
+        return;
+    }
+    this->output.send(
+        flow.entry, flow_opened{packet.flow, packet.sequence, this->load(now)});
+    this->emit(
+        now, flow_event_kind::flow_opened, packet.flow, flow.entry,
+        result_code::done);
+}
+
+void companion_flow_core::note_upstream_data(
+    flow_record& flow, const flow_packet& packet)
+{
+    if (flow.state == flow_state::probing || flow.state == flow_state::absent)
+    {
+        this->set_state(flow, flow_state::open);
+        if (flow.entry.value != 0)
+        {
+            this->output.send(
+                flow.entry, owner_answer{packet.flow, ownership::owned});
+        }
+    }
+    flow.accepted = true;
+    flow.upstream_sequence = packet.sequence;
+    flow.upstream_closed = flow.upstream_closed || packet.flags.closes;
+    if (packet.payload_size > 0)
+    {
+        this->set_waiting(flow, false);
+    }
+    if (packet.flags.resets || (flow.caller_closed && flow.upstream_closed))
+    {
+        this->set_waiting(flow, false);
+        this->set_state(flow, flow_state::ended);
+    }
+}
+
+void companion_flow_core::on_bounced(time_point now, const flow_packet& packet)
+{
+    const auto found = this->flows.find(packet.flow);
+    if (found == this->flows.end())
+    {
+        return;
+    }
+    flow_record& flow = found->second;
+    const instance_id entry = flow.entry;
+    if (packet.is_opening())
+    {
+        this->set_waiting(flow, false);
+        this->set_state(flow, flow_state::ended);
+        this->flows.erase(found);
+        if (entry.value != 0)
+        {
+            this->refuse(
+                now, entry, packet, result_code::not_run_upstream_refused);
+        }
+        return;
+    }
+    const bool was_open = flow.state == flow_state::open;
+    this->set_waiting(flow, false);
+    this->set_state(flow, was_open ? flow_state::ended : flow_state::absent);
+    if (was_open)
+    {
+        this->emit(
+            now, flow_event_kind::flow_reset, packet.flow, entry,
+            result_code::unknown_flow_lost);
+        this->output.reset_caller(packet.flow, packet.acknowledged);
+        this->flows.erase(packet.flow);
+    }
+    else if (entry.value != 0 && !packet.flags.resets)
+    {
+        this->return_packet(now, entry, packet);
+    }
+}
+
+void companion_flow_core::set_waiting(flow_record& flow, bool value)
+{
+    if (flow.awaits_answer != value)
+    {
+        flow.awaits_answer = value;
+        this->in_flight += value ? 1U : -1U;
+    }
+}
+
+void companion_flow_core::set_state(flow_record& flow, flow_state state)
+{
+    const bool was_open = flow.state == flow_state::open;
+    const bool is_open = state == flow_state::open;
+    if (is_open != was_open)
+    {
+        this->open_flows += is_open ? 1U : -1U;
+    }
+    flow.state = state;
+}
+
+ownership companion_flow_core::ownership_of(
+    const flow_ends& flow, std::uint32_t acknowledged) const
+{
+    const auto found = this->flows.find(flow);
+    const ownership unknown = this->monitor.has_seen_whole_life()
+                                  ? ownership::absent
+                                  : ownership::uncertain;
+    if (found == this->flows.end())
+    {
+        return unknown;
+    }
+    const flow_record& record = found->second;
+    switch (record.state)
+    {
+    case flow_state::half_open:
+        return acknowledges(record, acknowledged) ? ownership::owned
+                                                  : ownership::absent;
+    case flow_state::open:
+    case flow_state::ended:
+        return ownership::owned;
+    case flow_state::absent:
+        return ownership::absent;
+    case flow_state::probing:
+        break;
+    }
+    return unknown;
+}
+
+void companion_flow_core::forget_flows(time_point now)
+{
+    const auto idle = this->policy_in_force->idle_limit();
+    const duration idle_limit =
+        idle.count() == 0 ? duration(default_idle_limit) : duration(idle);
+    for (auto item = this->flows.begin(); item != this->flows.end();)
+    {
+        flow_record& flow = item->second;
+        duration limit = idle_limit;
+        if (flow.state == flow_state::half_open ||
+            flow.state == flow_state::probing)
+        {
+            limit = half_open_limit;
+        }
+        else if (flow.state != flow_state::open)
+        {
+            limit = ended_limit;
+        }
+        if (now - flow.last_packet > limit)
+        {
+            this->set_waiting(flow, false);
+            this->set_state(flow, flow_state::ended);
+            this->flows.erase(item++);
+        }
+        else
+        {
+            ++item;
+        }
+    }
+}
+
+} // namespace masticslip
--- /dev/null
+++ b/src/flow/entry_openings.cpp
@@ -0,0 +1,297 @@
+// Placement of opening packets: which companion, when to try another, when to
+// wait for room and when to tell the caller.
+
+#include "masticslip/flow/entry_flow_core.hpp"
+
+#include "masticslip/flow/detail/entry_flow_limits.hpp"
+
+#include <algorithm>
+
+namespace masticslip
+{
+
+using detail::contains;
+using detail::look_up_width;
+
+namespace
+{
+
+/// Companions that may be tried for one opening packet.
+constexpr std::size_t max_attempts = 6;
+/// Wait for a companion's answer to an opening packet. Half of the time after
+/// which callers send a copy, so that another one is tried before that.
+constexpr std::chrono::milliseconds open_timeout{100};
+/// A caller gives up an opening 1.4 s after the first packet.
+constexpr std::chrono::milliseconds opening_limit{1'500};
+/// Openings without an answer after which a companion is avoided.
+constexpr std::uint32_t suspect_openings = 1;
+/// Difference of load, in requests for each slot, at which a flow goes to
+/// another failure domain. Uploads carry some forty times the bytes of others.
+constexpr double remote_cost = 0.1;
+constexpr double remote_upload_cost = 1.0;
+/// While an opening waits for room, it is tried again at this interval.
+constexpr std::chrono::milliseconds wait_interval{20};
+/// A load that shows no room is believed for this long while openings wait.
+constexpr std::chrono::milliseconds full_view_limit{50};
+/// Share of a route's time limit that an opening may wait for room, so that an
+/// answer still comes in time or the caller can turn to something else.
+constexpr double wait_share = 0.4;
+/// Time limit of routes that state none.
+constexpr std::chrono::milliseconds default_time_limit{1'000};
+
+/// What was full some time ago may have room for one flow.
+void assume_room(placement_candidate& candidate)
+{
+    upstream_load& load = candidate.load;
+    if (load.refusal == result_code::not_run_overloaded)
+    {
+        load.refusal = result_code::done;
+    }
+    if (load.cold_room <= candidate.own_placements)
+    {
+        load.cold_room = candidate.own_placements + 1;
+    }
+}
+
+} // namespace
+
+void entry_flow_core::on_opening(time_point now, const flow_packet& packet)
+{
+    const auto known = this->flows.find(packet.flow);
+    if (known != this->flows.end() && known->second.confirmed &&
+        !known->second.closing)
+    {
+        this->forward(now, known->second, packet);
+        return;
+    }
+    const auto pending = this->openings.find(packet.flow);
+    if (pending != this->openings.end())
+    {
+        // A copy: the attempt in progress goes on by its own times.
+        return;
+    }
+    opening item;
+    item.packet.assign(packet.raw.begin(), packet.raw.end());
+    item.acknowledged = packet.acknowledged;
+    item.first_seen = now;
+    const auto created = this->openings.emplace(packet.flow, std::move(item));
+    this->place(now, packet.flow, created.first->second);
+}
+
+std::vector<placement_candidate> entry_flow_core::candidates_for(
+    time_point now, const flow_ends& flow, const opening& item)
+{
+    const route_definition* route =
+        this->policy_in_force->find_route(flow.target);
+    std::vector<placement_candidate> result;
+    if (route == nullptr)
+    {
+        return result;
+    }
+    const auto ids = this->ranked_companions(
+        make_service_id(route->service), flow, look_up_width);
+    result.reserve(ids.size());
+    for (const instance_id id : ids)
+    {
+        const directory_member& member = *this->directory.find(id);
+        const auto& domain = member.record.failure_domain;
+        const bool is_usable =
+            !member.is_stopping && !member.has_left && !member.is_silent &&
+            member.heard != time_point{} && !contains(item.tried, id) &&
+            !this->policy_in_force->value().is_withdrawn(domain);
+        if (!is_usable)
+        {
+            continue;
+        }
+        placement_candidate candidate{
+            id, member.load, member.own_placements,
+            domain != this->settings.failure_domain,
+            member.unanswered >= suspect_openings};
+        if (item.is_waiting && now - member.heard > full_view_limit)
+        {
+            assume_room(candidate);
+        }
+        result.push_back(candidate);
+    }
+    return result;
+}
+
+void entry_flow_core::place(
+    time_point now, const flow_ends& flow, opening& item)
+{
+    const auto candidates = this->candidates_for(now, flow, item);
+    const route_definition* route =
+        this->policy_in_force->find_route(flow.target);
+    const bool is_upload =
+        route != nullptr && route->kind == request_kind::upload;
+    const placement_request request{
+        hash_flow_ends(flow), is_upload ? remote_upload_cost : remote_cost};
+    const auto chosen = item.tried.size() < max_attempts
+                            ? choose_candidate(candidates, request)
+                            : std::nullopt;
+    if (!chosen && this->may_wait(now, flow, item))
+    {
+        item.is_waiting = true;
+        item.tried.clear();
+        item.deadline = now + wait_interval;
+        return;
+    }
+    if (!chosen)
+    {
+        this->reject(now, flow, item);
+        return;
+    }
+    item.is_waiting = false;
+    const instance_id id = candidates[*chosen].id;
+    directory_member& member = *this->directory.find(id);
+    ++member.own_placements;
+    const auto kind = item.tried.empty() ? flow_event_kind::flow_placed
+                                         : flow_event_kind::flow_moved;
+    this->emit(
+        now, kind, flow, id,
+        item.tried.empty() ? result_code::done : item.last_refusal,
+        static_cast<std::uint32_t>(candidates.size()),
+        static_cast<std::uint32_t>(item.tried.size()));
+    item.tried.push_back(id);
+    item.deadline = now + open_timeout;
+    flow_record& record = this->flows[flow];
+    record = {};
+    record.companion = id;
+    record.last_packet = now;
+    this->output.send_packet(member.record.packet_address, item.packet);
+}
+
+bool entry_flow_core::may_wait(
+    time_point now, const flow_ends& flow, const opening& item) const
+{
+    const route_definition* route =
+        this->policy_in_force->find_route(flow.target);
+    if (route == nullptr)
+    {
+        return false;
+    }
+    const auto time_limit =
+        route->time_limit.count() == 0 ? default_time_limit : route->time_limit;
+    if (now - item.first_seen >= time_limit * wait_share)
+    {
+        return false;
+    }
+    const auto& ids =
+        this->directory.of_service(make_service_id(route->service));
+    return std::any_of(
+        ids.begin(), ids.end(),
+        [this, now](instance_id id)
+        {
+            const directory_member& member = *this->directory.find(id);
+            const auto& domain = member.record.failure_domain;
+            const bool leaves =
+                member.has_left ||
+                member.load.refusal == result_code::not_run_upstream_leaving;
+            return !leaves && !this->is_lost(now, member) &&
+                   !this->policy_in_force->value().is_withdrawn(domain);
+        });
+}
+
+void entry_flow_core::reject(
+    time_point now, const flow_ends& flow, opening& item)
+{
+    // A companion that has not answered may have opened the flow, and a copy
+    // may belong to a flow that another entry placed: no reset then.
+    const bool is_certain = item.unanswered == 0 && item.acknowledged == 0;
+    this->emit(
+        now,
+        is_certain ? flow_event_kind::flow_rejected
+                   : flow_event_kind::packet_dropped,
+        flow, {}, item.last_refusal, 0,
+        static_cast<std::uint32_t>(item.tried.size()), now - item.first_seen);
+    if (is_certain)
+    {
+        this->output.reset_caller(flow, 0);
+        this->flows.erase(flow);
+    }
+    this->openings.erase(flow);
+}
+
+void entry_flow_core::on_opened(
+    time_point now, instance_id sender, const flow_opened& message)
+{
+    this->directory.on_load(now, sender, message.load);
+    const auto pending = this->openings.find(message.flow);
+    duration elapsed{};
+    if (pending != this->openings.end())
+    {
+        elapsed = now - pending->second.first_seen;
+        this->openings.erase(pending);
+    }
+    flow_record& flow = this->flows[message.flow];
+    if (flow.confirmed && flow.companion != sender)
+    {
+        // Two upstreams were offered the flow; the caller decides, and the
+        // companion of the other one returns the caller's packets.
+        return;
+    }
+    flow.companion = sender;
+    flow.confirmed = true;
+    flow.known_since = now;
+    flow.last_packet = now;
+    this->emit(
+        now, flow_event_kind::flow_opened, message.flow, sender,
+        result_code::done, 0, 0, elapsed);
+}
+
+void entry_flow_core::on_refused(
+    time_point now, instance_id sender, const flow_refused& message)
+{
+    this->directory.on_load(now, sender, message.load);
+    const auto pending = this->openings.find(message.flow);
+    if (pending == this->openings.end())
+    {
+        return;
+    }
+    opening& item = pending->second;
+    if (!item.tried.empty() && item.tried.back() == sender)
+    {
+        item.last_refusal = message.reason;
+        this->place(now, message.flow, item);
+    }
+    else if (contains(item.tried, sender) && item.unanswered > 0)
+    {
+        // The answer came after the next companion had been tried.
+        --item.unanswered;
+    }
+}
+
+void entry_flow_core::expire_openings(time_point now)
+{
+    std::vector<flow_ends> due;
+    for (const auto& item : this->openings)
+    {
+        if (item.second.deadline <= now)
+        {
+            due.push_back(item.first);
+        }
+    }
+    for (const flow_ends& flow : due)
+    {
+        opening& item = this->openings[flow];
+        if (item.is_waiting)
+        {
+            this->place(now, flow, item);
+            continue;
+        }
+        if (directory_member* member = this->directory.find(item.tried.back()))
+        {
+            ++member->unanswered;
+        }
+        ++item.unanswered;
+        item.last_refusal = result_code::unknown_companion_gone;
+        if (now - item.first_seen > opening_limit)
+        {
+            this->openings.erase(flow);
+            continue;
+        }
+        this->place(now, flow, item);
+    }
+}
+
+} // namespace masticslip
--- /dev/null
+++ b/standins/flow/virtual_processes.hpp
@@ -0,0 +1,116 @@
+#pragma once
+/// The processes of the virtual fleet: a core each, with its effects.
+
+#include "node/flow_telemetry.hpp"
+#include "virtual_flow_fleet.hpp"
+
+namespace masticslip::standin
+{
+
+/// Name of a failure domain by its number.
+inline std::string domain_name(std::uint32_t number)
+{
+    return "domain-" + std::to_string(number);
+}
+
+struct virtual_flow_fleet::entry_process final : entry_flow_output
+{
+    entry_process(virtual_flow_fleet& owner, std::string label)
+        : fleet(&owner), name(std::move(label)),
+          events([this](const std::string& text)
+                 { this->fleet->write_log(this->name, text); })
+    {
+    }
+
+    void send_packet(const endpoint& companion, byte_view packet) override
+    {
+        this->fleet->send_packet_to_companion(this->index, companion, packet);
+    }
+
+    void reset_caller(const flow_ends& flow, std::uint32_t) override
+    {
+        this->fleet->deliver_reset(flow);
+    }
+
+    void send(instance_id to, const flow_message& message) override
+    {
+        this->fleet->send_control(this->domain, this->id, to, message);
+    }
+
+    void fetch_policy(instance_id from) override
+    {
+        this->fleet->fetch(from, this->id);
+    }
+
+    virtual_flow_fleet* fleet;
+    std::string name;
+    flow_telemetry events;
+    std::size_t index = 0;
+    instance_id id;
+    std::uint32_t domain = 0;
+    std::unique_ptr<entry_flow_core> core;
+    std::uint64_t life = 0;
+    time_point frozen_until;
+    bool in_rotation = true;
+    bool is_stopping = false;
+    bool is_turned_away = false;
+    int misses = 0;
+    std::set<instance_id> listed;
+};
+
+struct virtual_flow_fleet::companion_process final : companion_flow_output
+{
+    companion_process(virtual_flow_fleet& owner, std::string label)
+        : fleet(&owner), name(std::move(label)),
+          events([this](const std::string& text)
+                 { this->fleet->write_log(this->name, text); })
+    {
+    }
+
+    void send_to_upstream(byte_view packet) override
+    {
+        this->fleet->to_host(this->index, packet);
+    }
+
+    void send_to_caller(const endpoint&, byte_view packet) override
+    {
+        this->fleet->deliver_to_caller(decode(packet));
+    }
+
+    void reset_caller(const flow_ends& flow, std::uint32_t) override
+    {
+        this->fleet->deliver_reset(flow);
+    }
+
+    void send(instance_id to, const flow_message& message) override
+    {
+        this->fleet->send_control(this->domain, this->id, to, message);
+    }
+
+    void fetch_policy(instance_id from) override
+    {
+        this->fleet->fetch(from, this->id);
+    }
+
+    void on_not_listed() override
+    {
+    }
+
+    virtual_flow_fleet* fleet;
+    std::string name;
+    flow_telemetry events;
+    std::size_t index = 0;
+    instance_id id;
+    endpoint packets;
+    std::uint32_t domain = 0;
+    std::string service;
+    std::unique_ptr<virtual_host> host;
+    std::unique_ptr<companion_flow_core> core;
+    std::uint64_t life = 0;
+    time_point frozen_until;
+    time_point cut_until;
+    time_point drain_acknowledged;
+    bool has_left = false;
+};
+
+} // namespace masticslip::standin
