--- a/src/node/node_settings.hpp
+++ b/src/node/node_settings.hpp
@@ -21,7 +21,7 @@
     /// Takes control messages (UDP) and policy requests (TCP); its packed form
     /// is the instance's id.
     endpoint control_address;
-    endpoint readiness_address;
+    endpoint ready_address;
     /// Serves the metrics; nullopt: not served.
     std::optional<endpoint> metrics_address;
     endpoint store_address;
