Look a flow up before it is reset for a companion that was only offered it

An entry that was frozen for 3 s read an old opening after the thaw and offered it to a second upstream, which accepted; the caller had opened the flow elsewhere through another entry. The frozen entry took the second one for the owner, and when that one left for good, the entry reset the flow on its next packet 11 s later.

Ruled out: a forgotten record at the owner (idle for 11 s, limit 15 s), a dropped route (the route stayed), a companion counted as lost (all were heard).

Change: a flow counts as proven at a companion once that one has taken packets of it for 100 ms without returning them, or has said that it owns it. Unproven ones are looked up. The test failed first (a reset, no packet to the owner).

--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -123,6 +123,10 @@
     static constexpr std::chrono::milliseconds tick_interval{250};
 
 private:
+    /// A packet that a companion does not want is back within this time:
+    /// several round trips between failure domains.
+    static constexpr std::chrono::milliseconds return_time{100};
+
     struct flow_record
     {
         instance_id companion;
@@ -133,8 +137,20 @@
         /// The first companions by rank were told the owner.
         bool is_hinted = false;
         bool closing = false;
+        /// The companion said that its upstream holds the flow.
+        bool is_owned = false;
         time_point known_since;
         time_point last_packet;
+        /// First packet after the opening that was passed on.
+        time_point used_since;
+
+        /// True if the companion took packets of the flow and did not return
+        /// them: the caller has opened the flow there.
+        [[nodiscard]] bool is_proven(time_point now) const
+        {
+            return this->is_owned || (this->used_since != time_point{} &&
+                                      now - this->used_since >= return_time);
+        }
     };
 
     /// An opening packet that no companion has confirmed yet.
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -113,6 +113,16 @@
     const bool is_gone = member->has_left && member->is_stopping;
     const bool is_given_up =
         this->is_lost(now, *member) && this->may_repeat(packet.flow);
+    if (packet.payload_size > 0 && (is_gone || is_given_up) &&
+        !flow.is_proven(now))
+    {
+        // A late opening may have been offered there after the caller had
+        // opened the flow elsewhere.
+        const instance_id former = flow.companion;
+        this->flows.erase(packet.flow);
+        this->start_look_up(now, packet, former);
+        return;
+    }
     if (packet.payload_size > 0 && (is_gone || is_given_up))
     {
         this->emit(
@@ -127,6 +137,10 @@
         return;
     }
     flow.last_packet = now;
+    if (!packet.flags.opens && flow.used_since == time_point{})
+    {
+        flow.used_since = now;
+    }
     flow.closing = flow.closing || packet.flags.closes || packet.flags.resets;
     this->output.send_packet(member->record.packet_address, packet.raw);
 }
--- a/src/flow/entry_look_ups.cpp
+++ b/src/flow/entry_look_ups.cpp
@@ -125,6 +125,7 @@
         message.answer == ownership::owned)
     {
         known->second.confirmed = true;
+        known->second.is_owned = true;
         known->second.is_probe = false;
     }
     const auto found = this->look_ups.find(message.flow);
@@ -136,6 +137,7 @@
     if (message.answer == ownership::owned)
     {
         this->settle_owner(now, message.flow, sender, true);
+        this->flows[message.flow].is_owned = true;
         return;
     }
     if (!contains(item.absent, message.owner) &&
--- a/tests/flow/entry_flow_core_test.cpp
+++ b/tests/flow/entry_flow_core_test.cpp
@@ -180,6 +180,7 @@
         flow_ends flow = test_flow(1);
         flow.target = target;
         core.on_message(at(1ms), companion(1), flow_opened{flow, 1, {}});
+        core.on_caller_packet(at(2ms), data_packet(flow, 1'001, 2));
     }
     for (auto now = 0ms; now <= 2'000ms; now += 250ms)
     {
@@ -194,6 +195,46 @@
     BOOST_TEST(to_string(output.resets[0]) == to_string(test_flow(1)));
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    a_flow_of_a_departed_upstream_is_reset_once_its_companion_stops,
+    entry_fixture)
+{
+    make_ready(2);
+    core.on_message(at(1ms), companion(1), flow_opened{test_flow(1), 1, {}});
+    companion_report report = ready_report(1);
+    report.has_left = true;
+    core.on_message(at(2ms), companion(1), report);
+    core.on_caller_packet(at(3ms), data_packet(test_flow(1), 1'001, 2));
+    BOOST_TEST(output.resets.empty());
+
+    report.is_stopping = true;
+    core.on_message(at(400ms), companion(1), report);
+    core.on_caller_packet(at(401ms), data_packet(test_flow(1), 1'101, 2));
+    BOOST_TEST(output.resets.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_flow_that_was_only_offered_to_a_departed_upstream_is_looked_up,
+    entry_fixture)
+{
+    make_ready(2);
+    core.on_message(at(1ms), companion(1), flow_opened{test_flow(1), 1, {}});
+    companion_report report = ready_report(1);
+    report.has_left = true;
+    report.is_stopping = true;
+    core.on_message(at(2'000ms), companion(1), report);
+    core.on_message(at(2'000ms), companion(2), ready_report(2));
+
+    core.on_caller_packet(at(2'001ms), data_packet(test_flow(1), 1'101, 2));
+    core.on_message(
+        at(2'002ms), companion(2),
+        owner_answer{test_flow(1), ownership::owned, {}});
+
+    BOOST_TEST(output.resets.empty());
+    BOOST_REQUIRE(output.packets.size() == 1U);
+    BOOST_TEST(to_string(output.packets[0]) == to_string(packets_of(2)));
+}
+
 BOOST_FIXTURE_TEST_CASE(
     an_entry_that_hears_nobody_resets_nothing, entry_fixture)
 {
