Let the stand-in store be slow and execute writes late

Change: store_fault::slow and ::late with a delay. Tests: a slow store is waited for up to a call's limit; a late write is unknown and then done; a key that a late write of a former process takes away with its lease is written again once an entry misses it.

--- a/standins/platform/store_server.cpp
+++ b/standins/platform/store_server.cpp
@@ -1,5 +1,7 @@
 #include "store_server.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/detail/base64.hpp>
@@ -199,6 +201,18 @@
         co_await this->handle(request);
         stream.socket().close();
         co_return std::nullopt;
+    case store_fault::slow:
+    {
+        asio::steady_timer timer(this->context, this->delay);
+        co_await timer.async_wait(asio::use_awaitable);
+        break;
+    }
+    case store_fault::late:
+        asio::co_spawn(
+            this->context, this->handle_later(std::move(request)),
+            asio::detached);
+        stream.socket().close();
+        co_return std::nullopt;
     case store_fault::unreadable:
         co_return make_response(request, http::status::ok, "\xff{");
     case store_fault::none:
@@ -207,6 +221,13 @@
     co_return co_await this->handle(request);
 }
 
+asio::awaitable<void> store_server::handle_later(http_request request)
+{
+    asio::steady_timer timer(this->context, this->delay);
+    co_await timer.async_wait(asio::use_awaitable);
+    co_await this->handle(request);
+}
+
 store_server::answer store_server::handle(const http_request& request)
 {
     const std::string_view target(
--- a/standins/platform/store_server.hpp
+++ b/standins/platform/store_server.hpp
@@ -29,6 +29,8 @@
     reset,     ///< Closes the connection without an answer.
     silent,    ///< Takes the call and never answers.
     lost,      ///< Does what is asked and does not answer.
+    slow,      ///< Answers after `delay`.
+    late,      ///< Does not answer, and does what is asked after `delay`.
     unreadable ///< Answers 200 with a body that is no JSON.
 };
 
@@ -61,12 +63,21 @@
         return this->items.contains(key);
     }
 
+    /// Value of a key; empty if there is none.
+    [[nodiscard]] std::string value_of(const std::string& key) const
+    {
+        const auto found = this->items.find(key);
+        return found == this->items.end() ? "" : found->second.value;
+    }
+
     [[nodiscard]] std::uint64_t current_revision() const
     {
         return this->revision;
     }
 
     store_fault fault = store_fault::none;
+    /// Time that a slow call takes, and a late one until it is done.
+    std::chrono::milliseconds delay{};
     /// Items on one page of a range.
     std::size_t page_size = 2;
     std::uint64_t calls = 0;
@@ -92,6 +103,7 @@
 
     answer on_request(http_request request, boost::beast::tcp_stream& stream);
     answer handle(const http_request& request);
+    boost::asio::awaitable<void> handle_later(http_request request);
     answer wait_for_changes(const http_request& request);
     http_response read_range(const http_request& request);
     http_response change_keys(const http_request& request);
