Read the clock that counts suspensions

Cause: the processes read std::chrono::steady_clock, which stands still while a machine is suspended. The freeze guard then saw no gap, and a companion went on with the policy and the upstream's state of before the suspension. Ruled out: the time of day, which jumps. Change: node_now() reads CLOCK_BOOTTIME.

--- a/src/node/flow_node.cpp
+++ b/src/node/flow_node.cpp
@@ -35,12 +35,6 @@
     return "masticslip/companions/";
 }
 
-time_point node_now()
-{
-    return time_point(std::chrono::duration_cast<duration>(
-        std::chrono::steady_clock::now().time_since_epoch()));
-}
-
 flow_node::flow_node(
     asio::io_context& context,
     node_settings values,
--- a/src/node/flow_node.hpp
+++ b/src/node/flow_node.hpp
@@ -7,6 +7,7 @@
 #include "masticslip/store/key_value_store.hpp"
 #include "net/datagram_socket.hpp"
 #include "net/http.hpp"
+#include "node_clock.hpp"
 #include "node_settings.hpp"
 #include "packet_codec.hpp"
 
@@ -105,7 +106,4 @@
     bool is_fetching = false;
 };
 
-/// Returns the monotonic time for the cores.
-time_point node_now();
-
 } // namespace masticslip
