Bound the flow tables; forget flows beyond their age limit first

Change: a companion refuses openings and returns unknown flows once max_flows are held; from half of that on, flows beyond the age limit are forgotten. An entry beyond its bound forgets aged flows besides closing ones; they can be looked up. With room, aged flows stay: discarding them would serve nobody. Tests failed first with the three guards taken out (5 of 4 flows; 2 instead of 1; 6 instead of 4).

--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -60,8 +60,10 @@
     endpoint packet_address;
     /// Interval of the upstream's status messages.
     std::chrono::milliseconds status_interval{1'000};
-    /// Flows older than this may be forgotten.
+    /// Flows older than this are forgotten first when the table fills up.
     std::chrono::seconds flow_age_limit{60};
+    /// Most flows that are held; new ones are refused beyond.
+    std::size_t max_flows = 20'000;
 };
 
 /// Not thread-safe; times must not decrease.
@@ -187,6 +189,8 @@
     on_hello(time_point now, instance_id sender, const entry_hello& message);
     [[nodiscard]] companion_report report(time_point now);
     void send_reports(time_point now);
+    [[nodiscard]] bool
+    is_forgettable(time_point now, const flow_record& flow) const;
     void forget_flows(time_point now);
     void expire_reservations(time_point now);
     void observe(time_point now);
--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -51,8 +51,10 @@
 struct entry_flow_settings
 {
     std::string failure_domain;
-    /// Most flows that are remembered.
+    /// Most flows that are remembered. Beyond, closing flows and those older
+    /// than `flow_age_limit` are forgotten: they can be looked up.
     std::size_t max_flows = 200'000;
+    std::chrono::seconds flow_age_limit{60};
 };
 
 /// Not thread-safe; times must not decrease.
--- a/src/flow/companion_admission.cpp
+++ b/src/flow/companion_admission.cpp
@@ -117,6 +117,10 @@
     {
         return result_code::not_run_upstream_cold;
     }
+    if (this->flows.size() >= this->settings.max_flows)
+    {
+        return result_code::not_run_overloaded;
+    }
     return result_code::done;
 }
 
--- a/src/flow/companion_flows.cpp
+++ b/src/flow/companion_flows.cpp
@@ -20,6 +20,10 @@
 /// Idle flows are forgotten after this time if the policy states none.
 constexpr std::chrono::seconds default_idle_limit{15};
 
+/// Flows beyond their age limit make room once this share of the table is in
+/// use, as its divisor.
+constexpr std::size_t crowded_divisor = 2;
+
 /// Signed distance of two sequence numbers.
 std::int32_t distance(std::uint32_t from, std::uint32_t to)
 {
@@ -31,7 +35,8 @@
 void companion_flow_core::on_unknown_flow(
     time_point now, instance_id entry, const flow_packet& packet)
 {
-    if (this->monitor.has_seen_whole_life())
+    const bool is_full = this->flows.size() >= this->settings.max_flows;
+    if (this->monitor.has_seen_whole_life() || is_full)
     {
         this->return_packet(now, entry, packet);
         return;
@@ -256,25 +261,33 @@
     return unknown;
 }
 
+bool companion_flow_core::is_forgettable(
+    time_point now, const flow_record& flow) const
+{
+    const auto stated = this->policy_in_force->idle_limit();
+    duration limit =
+        stated.count() == 0 ? duration(default_idle_limit) : duration(stated);
+    if (flow.state == flow_state::half_open ||
+        flow.state == flow_state::probing)
+    {
+        limit = half_open_limit;
+    }
+    else if (flow.state != flow_state::open)
+    {
+        limit = ended_limit;
+    }
+    const bool is_crowded =
+        this->flows.size() >= this->settings.max_flows / crowded_divisor;
+    const bool is_aged = now - flow.created > this->settings.flow_age_limit;
+    return now - flow.last_packet > limit || (is_crowded && is_aged);
+}
+
 void companion_flow_core::forget_flows(time_point now)
 {
-    const auto idle = this->policy_in_force->idle_limit();
-    const duration idle_limit =
-        idle.count() == 0 ? duration(default_idle_limit) : duration(idle);
     for (auto item = this->flows.begin(); item != this->flows.end();)
     {
         flow_record& flow = item->second;
-        duration limit = idle_limit;
-        if (flow.state == flow_state::half_open ||
-            flow.state == flow_state::probing)
-        {
-            limit = half_open_limit;
-        }
-        else if (flow.state != flow_state::open)
-        {
-            limit = ended_limit;
-        }
-        if (now - flow.last_packet > limit)
+        if (this->is_forgettable(now, flow))
         {
             this->set_waiting(flow, false);
             this->set_state(flow, flow_state::ended);
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -257,8 +257,11 @@
         {
             this->hint_owner(item->first, item->second);
         }
-        const bool is_excess =
-            this->flows.size() > this->settings.max_flows && flow.closing;
+        const bool is_aged =
+            flow.confirmed &&
+            now - flow.known_since > this->settings.flow_age_limit;
+        const bool is_excess = this->flows.size() > this->settings.max_flows &&
+                               (flow.closing || is_aged);
         if (is_excess || now - flow.last_packet > limit)
         {
             this->flows.erase(item++);
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -40,7 +40,8 @@
         settings.memory_mb == 0 ? default_memory_mb : settings.memory_mb;
     return {
         settings.failure_domain,
-        memory * bytes_per_megabyte / flow_memory_divisor / bytes_per_flow};
+        memory * bytes_per_megabyte / flow_memory_divisor / bytes_per_flow,
+        settings.flow_age_limit};
 }
 
 } // namespace
--- /dev/null
+++ b/tests/flow/entry_fixture.hpp
@@ -0,0 +1,63 @@
+#pragma once
+/// An entry's core with recorded outputs, for tests.
+
+#include "recorded_outputs.hpp"
+
+namespace masticslip::test
+{
+
+using namespace std::chrono_literals;
+
+/// Id of the companion with this number.
+constexpr instance_id companion(std::uint16_t number)
+{
+    return {endpoint{0x0A020000U + number, 7120}.packed()};
+}
+
+/// Address at which it takes packets.
+inline endpoint packets_of(std::uint16_t number)
+{
+    return {0x0A020000U + number, 8232};
+}
+
+/// A report of a companion that takes flows.
+inline companion_report
+ready_report(std::uint16_t number, std::uint32_t in_flight = 0)
+{
+    companion_report report;
+    report.name = "side-" + std::to_string(number);
+    report.service = "meetups";
+    report.failure_domain = "kgl-nyr";
+    report.packet_address = packets_of(number);
+    report.load.concurrency = 5;
+    report.load.in_flight = in_flight;
+    report.load.refusal = result_code::done;
+    report.policy_revision = 7;
+    return report;
+}
+
+/// An entry in the failure domain of its companions.
+struct entry_fixture
+{
+    entry_fixture() : core({"kgl-nyr", 1'000}, output, events)
+    {
+    }
+
+    /// Companions 1 to `count`, the first the emptiest.
+    void make_ready(std::uint16_t count)
+    {
+        this->core.on_policy(at(0ms), test_policy(7));
+        for (std::uint16_t i = 1; i <= count; ++i)
+        {
+            this->core.on_message(
+                at(0ms), companion(i), ready_report(i, 3U * i));
+        }
+        this->output.sent.clear();
+    }
+
+    recorded_entry output;
+    recorded_events events;
+    entry_flow_core core;
+};
+
+} // namespace masticslip::test
--- /dev/null
+++ b/tests/flow/entry_look_ups_test.cpp
@@ -0,0 +1,234 @@
+// Look-up of the owners of flows that an entry does not know.
+
+#include "entry_fixture.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace masticslip;
+using namespace masticslip::test;
+
+BOOST_AUTO_TEST_SUITE(entry_flow)
+
+BOOST_FIXTURE_TEST_CASE(
+    a_look_up_does_not_wait_for_companions_that_are_lost, entry_fixture)
+{
+    make_ready(3);
+    for (auto now = 0ms; now <= 2'000ms; now += 250ms)
+    {
+        core.on_message(at(now), companion(2), ready_report(2));
+        core.on_message(at(now), companion(3), ready_report(3));
+        core.on_tick(at(now));
+    }
+    core.on_caller_packet(at(2'000ms), data_packet(test_flow(1), 1'001, 2));
+    for (const std::uint16_t i : {2, 3})
+    {
+        core.on_message(
+            at(2'002ms), companion(i),
+            owner_answer{test_flow(1), ownership::absent});
+    }
+    BOOST_TEST(output.resets.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    an_unknown_flow_is_looked_up_and_its_packets_are_held, entry_fixture)
+{
+    make_ready(3);
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'001, 2));
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'101, 2));
+    BOOST_TEST(output.packets.empty());
+    BOOST_TEST(messages_of<owner_query>(output.sent).size() == 3U);
+
+    core.on_message(
+        at(2ms), companion(3), owner_answer{test_flow(1), ownership::owned});
+
+    BOOST_TEST(output.packets.size() == 2U);
+    BOOST_TEST(to_string(output.packets[0]) == to_string(packets_of(3)));
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_look_up_goes_on_beyond_the_first_companions_of_a_large_service,
+    entry_fixture)
+{
+    constexpr std::uint16_t count = 100;
+    make_ready(count);
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'001, 2));
+    BOOST_TEST(output.sent.size() < count);
+
+    for (std::size_t i = 0; i < output.sent.size() && i + 1 < count; ++i)
+    {
+        core.on_message(
+            at(2ms), output.sent[i].to,
+            owner_answer{test_flow(1), ownership::absent});
+    }
+
+    BOOST_TEST(output.resets.empty());
+    BOOST_TEST(output.sent.size() == count);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_look_up_asks_few_companions_first_and_follows_a_pointer, entry_fixture)
+{
+    make_ready(50);
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'001, 2));
+    BOOST_REQUIRE(output.sent.size() == 3U);
+    core.on_message(
+        at(2ms), output.sent[1].to,
+        owner_answer{test_flow(1), ownership::absent, companion(44)});
+    BOOST_REQUIRE(output.packets.size() == 1U);
+    BOOST_TEST(to_string(output.packets[0]) == to_string(packets_of(44)));
+    BOOST_TEST(output.sent.size() == 3U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_pointer_that_proved_wrong_is_not_followed_again, entry_fixture)
+{
+    make_ready(50);
+    const flow_packet packet = data_packet(test_flow(1), 1'001, 2);
+    core.on_caller_packet(at(1ms), packet);
+    const owner_answer pointed{test_flow(1), ownership::absent, companion(44)};
+    core.on_message(at(2ms), output.sent[1].to, pointed);
+    core.on_returned_packet(at(3ms), companion(44), packet);
+    core.on_message(at(4ms), output.sent.back().to, pointed);
+    BOOST_TEST(output.packets.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    an_uncertain_companion_with_a_wrong_pointer_is_still_uncertain,
+    entry_fixture)
+{
+    make_ready(2);
+    const flow_packet packet = data_packet(test_flow(1), 1'001, 2);
+    core.on_message(at(0ms), companion(1), flow_opened{test_flow(1), 1, {}});
+    core.on_returned_packet(at(1ms), companion(1), packet);
+    core.on_message(
+        at(2ms), companion(2),
+        owner_answer{test_flow(1), ownership::uncertain, companion(1)});
+    BOOST_TEST(output.resets.empty());
+    BOOST_REQUIRE(output.packets.size() == 1U);
+    BOOST_TEST(to_string(output.packets[0]) == to_string(packets_of(2)));
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    the_others_are_asked_soon_if_the_first_do_not_answer, entry_fixture)
+{
+    make_ready(50);
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'001, 2));
+    core.on_tick(at(40ms));
+    BOOST_TEST(messages_of<owner_query>(output.sent).size() == 53U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    the_owner_of_a_flow_that_stays_open_is_told_to_few, entry_fixture)
+{
+    make_ready(50);
+    core.on_message(at(1ms), companion(5), flow_opened{test_flow(1), 1, {}});
+    core.on_tick(at(600ms));
+    BOOST_TEST(messages_of<owner_hint>(output.sent).empty());
+    core.on_tick(at(1'200ms));
+    core.on_tick(at(1'800ms));
+    const auto hints = messages_of<owner_hint>(output.sent);
+    BOOST_TEST(hints.size() >= 2U);
+    BOOST_TEST(hints.size() <= 3U);
+    BOOST_TEST((hints[0].owner == companion(5)));
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_flow_is_not_reset_if_not_every_companion_was_asked, entry_fixture)
+{
+    constexpr std::uint16_t count = 300;
+    make_ready(count);
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'001, 2));
+    for (std::size_t i = 0; i < output.sent.size(); ++i)
+    {
+        core.on_message(
+            at(2ms), output.sent[i].to,
+            owner_answer{test_flow(1), ownership::absent});
+    }
+    BOOST_TEST(output.resets.empty());
+    BOOST_TEST(events.count(flow_event_kind::owner_missing) == 1U);
+}
+
+struct missing_case
+{
+    const char* name;
+    std::size_t absent;
+    std::size_t resets;
+};
+
+std::ostream& operator<<(std::ostream& stream, const missing_case& value)
+{
+    return stream << value.name;
+}
+
+const std::vector<missing_case> missing_cases{
+    {"all_say_that_it_is_absent", 3, 1}, {"one_does_not_answer", 2, 0}};
+
+BOOST_DATA_TEST_CASE_F(
+    entry_fixture,
+    a_flow_is_reset_only_if_no_upstream_can_hold_it,
+    boost::unit_test::data::make(missing_cases),
+    item)
+{
+    make_ready(3);
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'001, 2));
+    for (std::uint16_t i = 1; i <= item.absent; ++i)
+    {
+        core.on_message(
+            at(2ms), companion(i),
+            owner_answer{test_flow(1), ownership::absent});
+    }
+    core.on_tick(at(200ms));
+    BOOST_TEST(output.resets.size() == item.resets);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    uncertain_companions_are_tried_one_after_the_other, entry_fixture)
+{
+    make_ready(2);
+    const flow_packet packet = data_packet(test_flow(1), 1'001, 2);
+    core.on_caller_packet(at(1ms), packet);
+    for (const std::uint16_t i : {1, 2})
+    {
+        core.on_message(
+            at(2ms), companion(i),
+            owner_answer{test_flow(1), ownership::uncertain});
+    }
+    BOOST_REQUIRE(output.packets.size() == 1U);
+    const bool first_is_one = output.packets[0] == packets_of(1);
+    const std::uint16_t first = first_is_one ? 1 : 2;
+    const std::uint16_t second = first_is_one ? 2 : 1;
+
+    core.on_returned_packet(at(3ms), companion(first), packet);
+    core.on_message(
+        at(4ms), companion(second),
+        owner_answer{test_flow(1), ownership::uncertain});
+
+    BOOST_REQUIRE(output.packets.size() == 2U);
+    BOOST_TEST(to_string(output.packets[1]) == to_string(packets_of(second)));
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    an_uncertain_companion_gets_one_packet_until_it_has_confirmed,
+    entry_fixture)
+{
+    make_ready(2);
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'001, 2));
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'101, 2));
+    core.on_message(
+        at(2ms), companion(1),
+        owner_answer{test_flow(1), ownership::uncertain});
+    core.on_message(
+        at(2ms), companion(2), owner_answer{test_flow(1), ownership::absent});
+    core.on_caller_packet(at(3ms), data_packet(test_flow(1), 1'201, 2));
+    BOOST_TEST(output.packets.size() == 1U);
+
+    core.on_message(
+        at(4ms), companion(1), owner_answer{test_flow(1), ownership::owned});
+    core.on_caller_packet(at(5ms), data_packet(test_flow(1), 1'201, 2));
+
+    BOOST_TEST(output.packets.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
