Choose the placement rule by a setting; compare five

Experiments print the credit. Conclusion: no change of the default. A flow stays at its upstream and companions refuse at their limit, so the rule decides little.

--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -55,6 +55,12 @@
     /// than `flow_age_limit` are forgotten: they can be looked up.
     std::size_t max_flows = 200'000;
     std::chrono::seconds flow_age_limit{60};
+    /// A name of placement_rule_names().
+    std::string placement{default_placement};
+    /// Share of a route's time limit that an opening may wait for room, so
+    /// that an answer still comes in time or the caller can turn to something
+    /// else. Zero: rejected at once.
+    double wait_share = 0.4;
 };
 
 /// Not thread-safe; times must not decrease.
@@ -62,6 +68,7 @@
 {
 public:
     /// Output and events must outlive the core.
+    /// Precondition: the settings name a known placement rule.
     entry_flow_core(
         entry_flow_settings settings,
         entry_flow_output& output,
@@ -244,6 +251,7 @@
     entry_flow_settings settings;
     entry_flow_output& output;
     flow_event_sink& events;
+    const placement_rule* placement;
     std::shared_ptr<const policy> policy_in_force;
     companion_directory directory;
     flow_table<flow_record> flows;
--- a/include/masticslip/flow/flow_placement.hpp
+++ b/include/masticslip/flow/flow_placement.hpp
@@ -5,6 +5,9 @@
 /// flows open between two reports. Each entry therefore adds its own recent
 /// placements to the reported load, and ties are broken by the flow's hash, so
 /// that entries with the same view do not choose the same upstream.
+///
+///     const placement_rule* rule = find_placement_rule("two_choices");
+///     const auto chosen = rule->choose(candidates, {hash, remote_cost});
 
 #include "masticslip/core/types.hpp"
 #include "masticslip/flow/flow_messages.hpp"
@@ -12,6 +15,9 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace masticslip
 {
@@ -43,10 +49,33 @@
 double placement_cost(
     const placement_candidate& candidate, const placement_request& request);
 
-/// Index of the best candidate that accepts new flows, or nullopt.
+/// How a companion is chosen. Immutable and thread-safe.
+class placement_rule
+{
+public:
+    virtual ~placement_rule() = default;
+
+    /// Index of the candidate that gets the flow, or nullopt if none accepts
+    /// new flows.
+    [[nodiscard]] virtual std::optional<std::size_t> choose(
+        std::span<const placement_candidate> candidates,
+        const placement_request& request) const = 0;
+};
+
+/// Names of all rules, the default first.
+std::vector<std::string> placement_rule_names();
+
+/// The rule with this name, or null. Lives as long as the program.
 /// Thread-safe.
-std::optional<std::size_t> choose_candidate(
-    std::span<const placement_candidate> candidates,
-    const placement_request& request);
+///
+/// - `least_cost`: the candidate with the lowest placement_cost.
+/// - `three_choices`, `two_choices`, `random`: the lowest cost among three,
+///   two or one that the flow's hash draws.
+/// - `near_first`: a candidate of the entry's own failure domain while one has
+///   a free slot, otherwise the lowest cost.
+const placement_rule* find_placement_rule(std::string_view name);
+
+/// Name of the default rule.
+inline constexpr std::string_view default_placement = "least_cost";
 
 } // namespace masticslip
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -28,6 +28,7 @@
     entry_flow_output& output,
     flow_event_sink& events)
     : settings(std::move(values)), output(output), events(events),
+      placement(find_placement_rule(this->settings.placement)),
       policy_in_force(std::make_shared<policy>())
 {
 }
--- a/src/flow/entry_openings.cpp
+++ b/src/flow/entry_openings.cpp
@@ -33,9 +33,6 @@
 constexpr std::chrono::milliseconds wait_interval{20};
 /// A load that shows no room is believed for this long while openings wait.
 constexpr std::chrono::milliseconds full_view_limit{50};
-/// Share of a route's time limit that an opening may wait for room, so that an
-/// answer still comes in time or the caller can turn to something else.
-constexpr double wait_share = 0.4;
 /// Time limit of routes that state none.
 constexpr std::chrono::milliseconds default_time_limit{1'000};
 
@@ -127,7 +124,7 @@
     const placement_request request{
         hash_flow_ends(flow), is_upload ? remote_upload_cost : remote_cost};
     const auto chosen = item.tried.size() < max_attempts
-                            ? choose_candidate(candidates, request)
+                            ? this->placement->choose(candidates, request)
                             : std::nullopt;
     if (!chosen && this->may_wait(now, flow, item))
     {
@@ -172,7 +169,7 @@
     }
     const auto time_limit =
         route->time_limit.count() == 0 ? default_time_limit : route->time_limit;
-    if (now - item.first_seen >= time_limit * wait_share)
+    if (now - item.first_seen >= time_limit * this->settings.wait_share)
     {
         return false;
     }
--- a/src/flow/flow_placement.cpp
+++ b/src/flow/flow_placement.cpp
@@ -1,6 +1,8 @@
 #include "masticslip/flow/flow_placement.hpp"
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
 namespace masticslip
 {
@@ -37,30 +39,153 @@
                       static_cast<double>(tie_steps);
 }
 
-std::optional<std::size_t> choose_candidate(
+namespace
+{
+
+bool accepts(const placement_candidate& candidate)
+{
+    const upstream_load& load = candidate.load;
+    const bool is_full =
+        load.is_cold && load.cold_room <= candidate.own_placements;
+    return load.refusal == result_code::done && !is_full;
+}
+
+/// Position of the lowest cost among some of the candidates.
+template <class Positions>
+std::optional<std::size_t> lowest_cost(
+    const Positions& positions,
     std::span<const placement_candidate> candidates,
     const placement_request& request)
 {
     std::optional<std::size_t> best;
     double best_cost = 0;
-    for (std::size_t i = 0; i < candidates.size(); ++i)
+    for (const std::size_t position : positions)
     {
-        const auto& candidate = candidates[i];
-        const bool is_full =
-            candidate.load.is_cold &&
-            candidate.load.cold_room <= candidate.own_placements;
-        if (candidate.load.refusal != result_code::done || is_full)
-        {
-            continue;
-        }
-        const double cost = placement_cost(candidate, request);
+        const double cost = placement_cost(candidates[position], request);
         if (!best || cost < best_cost)
         {
-            best = i;
+            best = position;
             best_cost = cost;
         }
     }
     return best;
 }
 
+/// Positions of those that accept new flows.
+std::vector<std::size_t>
+accepting(std::span<const placement_candidate> candidates)
+{
+    std::vector<std::size_t> result;
+    result.reserve(candidates.size());
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+    {
+        if (accepts(candidates[i]))
+        {
+            result.push_back(i);
+        }
+    }
+    return result;
+}
+
+class least_cost_rule final : public placement_rule
+{
+public:
+    [[nodiscard]] std::optional<std::size_t> choose(
+        std::span<const placement_candidate> candidates,
+        const placement_request& request) const override
+    {
+        return lowest_cost(accepting(candidates), candidates, request);
+    }
+};
+
+/// The lowest cost among a few that the flow's hash draws.
+class sampled_rule final : public placement_rule
+{
+public:
+    explicit sampled_rule(std::size_t count) : count(count)
+    {
+    }
+
+    [[nodiscard]] std::optional<std::size_t> choose(
+        std::span<const placement_candidate> candidates,
+        const placement_request& request) const override
+    {
+        auto drawn = accepting(candidates);
+        const auto rank = [&](std::size_t position)
+        {
+            return hash_pair(candidates[position].id.value, request.flow_hash);
+        };
+        std::sort(
+            drawn.begin(), drawn.end(),
+            [&rank](std::size_t first, std::size_t second)
+            { return rank(first) < rank(second); });
+        drawn.resize(std::min(drawn.size(), this->count));
+        return lowest_cost(drawn, candidates, request);
+    }
+
+private:
+    std::size_t count;
+};
+
+class near_first_rule final : public placement_rule
+{
+public:
+    [[nodiscard]] std::optional<std::size_t> choose(
+        std::span<const placement_candidate> candidates,
+        const placement_request& request) const override
+    {
+        const auto all = accepting(candidates);
+        std::vector<std::size_t> near;
+        for (const std::size_t position : all)
+        {
+            const auto& candidate = candidates[position];
+            const std::uint32_t busy =
+                candidate.load.in_flight + candidate.own_placements;
+            if (!candidate.is_remote && !candidate.is_suspect &&
+                busy < candidate.load.concurrency)
+            {
+                near.push_back(position);
+            }
+        }
+        return lowest_cost(near.empty() ? all : near, candidates, request);
+    }
+};
+
+const least_cost_rule least_cost;
+const sampled_rule three_choices(3);
+const sampled_rule two_choices(2);
+const sampled_rule random_choice(1);
+const near_first_rule near_first;
+
+const std::array<std::pair<std::string_view, const placement_rule*>, 5> rules{
+    {{default_placement, &least_cost},
+     {"three_choices", &three_choices},
+     {"two_choices", &two_choices},
+     {"random", &random_choice},
+     {"near_first", &near_first}}};
+
+} // namespace
+
+std::vector<std::string> placement_rule_names()
+{
+    std::vector<std::string> result;
+    for (const auto& item : rules)
+    {
+        result.emplace_back(item.first);
+    }
+    return result;
+}
+
+const placement_rule* find_placement_rule(std::string_view name)
+{
+    for (const auto& item : rules)
+    {
+        if (item.first == name)
+        {
+            return item.second;
+        }
+    }
+    return nullptr;
+}
+
 } // namespace masticslip
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -41,7 +41,7 @@
     return {
         settings.failure_domain,
         memory * bytes_per_megabyte / flow_memory_divisor / bytes_per_flow,
-        settings.flow_age_limit};
+        settings.flow_age_limit, settings.placement};
 }
 
 } // namespace
--- a/src/node/node_settings.hpp
+++ b/src/node/node_settings.hpp
@@ -2,6 +2,7 @@
 /// Settings of a process on the layer-4 path, whatever they were read from.
 
 #include "masticslip/core/types.hpp"
+#include "masticslip/flow/flow_placement.hpp"
 #include "telemetry/log.hpp"
 
 #include <chrono>
@@ -31,6 +32,8 @@
     std::chrono::milliseconds min_lease{1'000};
     /// Flows older than this may be forgotten.
     std::chrono::seconds flow_age_limit{60};
+    /// Rule by which an entry places new flows.
+    std::string placement{default_placement};
     /// Memory limit of the process in megabytes; zero: none.
     std::uint32_t memory_mb = 0;
     log_level level = log_level::info;
--- a/standins/flow/scenario.cpp
+++ b/standins/flow/scenario.cpp
@@ -202,6 +202,23 @@
     reader.refuse_others();
 }
 
+void read_placement(
+    const json::value& value, scenario& item, member_reader& reader)
+{
+    const json::string* name = value.if_string();
+    if (name == nullptr || find_placement_rule(*name) == nullptr)
+    {
+        std::string names;
+        for (const auto& known : placement_rule_names())
+        {
+            names += (names.empty() ? "" : ", ") + known;
+        }
+        reader.fail("placement", "must be one of " + names);
+        return;
+    }
+    item.shape.placement = std::string(*name);
+}
+
 void read_step(
     const json::value& value,
     std::size_t number,
@@ -287,6 +304,12 @@
     member_reader reader(root, "$", reason);
     item.load = reader.number("load", item.load, 0.01, 10);
     item.shape.loss = reader.number("loss", 0, 0, 0.5);
+    item.shape.wait_share =
+        reader.number("wait_share", item.shape.wait_share, 0, 1);
+    if (const json::value* rule = reader.find("placement"))
+    {
+        read_placement(*rule, item, reader);
+    }
     item.length = std::chrono::seconds(
         static_cast<int>(reader.number("seconds", 25, 1, 600)));
     if (const json::value* shape = reader.find("shape"))
@@ -367,24 +390,38 @@
     return result;
 }
 
+double credit_of(const class_result& result)
+{
+    // What users say a late answer is worth to them.
+    constexpr double late_worth = 0.3;
+    if (result.asked == 0)
+    {
+        return 1;
+    }
+    return (static_cast<double>(result.in_time) +
+            late_worth * static_cast<double>(result.late)) /
+           static_cast<double>(result.asked);
+}
+
 std::string format_result(const scenario_result& result)
 {
     constexpr std::size_t line_size = 160;
     std::array<char, line_size> line{};
     std::string text = "seed " + std::to_string(result.seed) + "\n";
     std::snprintf(
-        line.data(), line.size(), "  %-10s %8s %8s %8s %8s %9s %9s\n", "class",
-        "asked", "in time", "late", "failed", "p50 ms", "p99 ms");
+        line.data(), line.size(), "  %-10s %8s %8s %8s %8s %7s %9s %9s\n",
+        "class", "asked", "in time", "late", "failed", "credit", "p50 ms",
+        "p99 ms");
     text += line.data();
     for (const auto& [name, item] : result.classes)
     {
         std::snprintf(
             line.data(), line.size(),
-            "  %-10s %8llu %8llu %8llu %8llu %9.1f %9.1f\n", name.c_str(),
+            "  %-10s %8llu %8llu %8llu %8llu %7.3f %9.1f %9.1f\n", name.c_str(),
             static_cast<unsigned long long>(item.asked),
             static_cast<unsigned long long>(item.in_time),
             static_cast<unsigned long long>(item.late),
-            static_cast<unsigned long long>(item.failed),
+            static_cast<unsigned long long>(item.failed), credit_of(item),
             percentile(item.latencies_ms, 0.5),
             percentile(item.latencies_ms, 0.99));
         text += line.data();
--- a/standins/flow/scenario.hpp
+++ b/standins/flow/scenario.hpp
@@ -2,6 +2,7 @@
 /// Experiments on the virtual fleet, read from a JSON file.
 ///
 ///     {"seconds": 25, "seeds": [1, 2], "load": 0.35, "loss": 0.01,
+///      "placement": "two_choices", "wait_share": 0.4,
 ///      "shape": {"domains": 3, "entries": 4, "meetups": 7, "papers": 3},
 ///      "faults": [{"at_ms": 5000, "kind": "kill_entry", "index": 0,
 ///                  "for_ms": 500}]}
@@ -57,6 +58,9 @@
 /// Plays an experiment with one seed.
 scenario_result play_scenario(const scenario& item, std::uint64_t seed);
 
+/// Share of the requests that were served, late ones counted in part.
+double credit_of(const class_result& result);
+
 /// The table of one result.
 std::string format_result(const scenario_result& result);
 
--- a/standins/flow/virtual_flow_fleet.cpp
+++ b/standins/flow/virtual_flow_fleet.cpp
@@ -201,8 +201,10 @@
     process.is_stopping = false;
     process.listed.clear();
     process.core = std::make_unique<entry_flow_core>(
-        entry_flow_settings{domain_name(process.domain), 100'000}, process,
-        process.events);
+        entry_flow_settings{
+            domain_name(process.domain), 100'000, 60s, this->shape.placement,
+            this->shape.wait_share},
+        process, process.events);
     this->queue.after(store_delay, [this, index] { this->sync_store(index); });
     this->tick_entry(index, process.life);
 }
--- a/standins/flow/virtual_flow_fleet.hpp
+++ b/standins/flow/virtual_flow_fleet.hpp
@@ -41,6 +41,10 @@
     double cold_flows_per_second = 0;
     /// Share of datagrams that are lost between instances.
     double loss = 0;
+    /// Settings of the entries: the placement rule, and how long an opening
+    /// may wait for room.
+    std::string placement{default_placement};
+    double wait_share = entry_flow_settings{}.wait_share;
     std::chrono::microseconds near_delay{200};
     std::chrono::microseconds far_delay{900};
     std::chrono::microseconds caller_delay{3'000};
--- a/standins/flow_experiment.cpp
+++ b/standins/flow_experiment.cpp
@@ -23,6 +23,7 @@
     using namespace masticslip;
     std::string path;
     std::vector<std::uint64_t> seeds;
+    std::string rule;
     try
     {
         TCLAP::CmdLine line(
@@ -34,7 +35,11 @@
         TCLAP::MultiArg<std::uint64_t> seed(
             "s", "seed", "Play this seed instead of those of the file", false,
             "NUMBER", line);
+        TCLAP::ValueArg<std::string> placement(
+            "p", "placement", "Use this placement rule instead of the file's",
+            false, "", "RULE", line);
         line.parse(argc, argv);
+        rule = placement.getValue();
         path = file.getValue();
         seeds = seed.getValue();
     }
@@ -51,12 +56,21 @@
     }
     const std::string text{std::istreambuf_iterator<char>(file), {}};
     failure_reason reason;
-    const auto item = standin::parse_scenario(text, reason);
+    auto item = standin::parse_scenario(text, reason);
     if (!item)
     {
         std::cerr << "flow_experiment: " << path << ": " << reason.text << '\n';
         return exit_usage;
     }
+    if (!rule.empty() && find_placement_rule(rule) == nullptr)
+    {
+        std::cerr << "flow_experiment: no placement rule '" << rule << "'\n";
+        return exit_usage;
+    }
+    if (!rule.empty())
+    {
+        item->shape.placement = rule;
+    }
     bool kept = true;
     for (const std::uint64_t seed : seeds.empty() ? item->seeds : seeds)
     {
