Know a policy by its contents, not only by its revision

Ruled out: using the revision of the keys themselves. A removed key (a domain that returns) leaves none, so an older policy could pass for the newer. Change: hellos and reports carry a digest of the contents. The same contents at a newer revision raise the number and nothing else. Protocol version 2.

--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -221,6 +221,9 @@
     [[nodiscard]] bool
     is_lost(time_point now, const directory_member& member) const;
     [[nodiscard]] duration greeting_interval() const;
+    /// Compares a companion's policy with the one in force.
+    void on_peer_policy(
+        instance_id peer, std::uint64_t revision, std::uint64_t digest);
     [[nodiscard]] bool may_repeat(const flow_ends& flow) const;
     [[nodiscard]] bool has_waited_enough(
         time_point now, const flow_ends& flow, const opening& item) const;
--- a/include/masticslip/flow/flow_messages.hpp
+++ b/include/masticslip/flow/flow_messages.hpp
@@ -40,6 +40,9 @@
     std::uint64_t policy_revision = 0;
     /// False if the store does not list the companion.
     bool is_listed = true;
+    /// Digest of the policy's contents: the same contents may be known under
+    /// several revisions.
+    std::uint64_t policy_digest = 0;
 };
 
 /// Companion to entry: identity, load and policy.
@@ -58,6 +61,8 @@
     bool is_stopping = false;
     /// The upstream has gone for good.
     bool has_left = false;
+    /// Digest of the policy's contents.
+    std::uint64_t policy_digest = 0;
 };
 
 /// The upstream has accepted a flow.
--- a/include/masticslip/flow/policy.hpp
+++ b/include/masticslip/flow/policy.hpp
@@ -24,6 +24,21 @@
     /// `revision` orders policies: the store's revision of the last change.
     policy(std::uint64_t revision, configuration value);
 
+    /// The same contents as `other`, known at another revision.
+    policy(const policy& other, std::uint64_t revision);
+
+    /// Digest of the contents without the revision; zero if not known.
+    [[nodiscard]] std::uint64_t digest() const
+    {
+        return this->contents_digest;
+    }
+
+    /// True if `other` is known and has the same contents.
+    [[nodiscard]] bool has_contents_of(const policy& other) const
+    {
+        return other.is_known() && this->digest() == other.digest();
+    }
+
     [[nodiscard]] std::uint64_t revision() const
     {
         return this->number;
@@ -65,6 +80,7 @@
     };
 
     std::uint64_t number = 0;
+    std::uint64_t contents_digest = 0;
     configuration document;
     boost::unordered_flat_map<endpoint, std::uint32_t, endpoint_hash> routes;
 };
--- a/include/masticslip/wire/flow_message_codec.hpp
+++ b/include/masticslip/wire/flow_message_codec.hpp
@@ -17,7 +17,7 @@
 {
 
 /// Version of the control messages of the layer-4 path.
-constexpr std::uint8_t flow_protocol_version = 1;
+constexpr std::uint8_t flow_protocol_version = 2;
 
 /// Returns the datagram. Thread-safe.
 bytes encode_flow_message(const flow_message& message);
--- a/src/flow/companion_admission.cpp
+++ b/src/flow/companion_admission.cpp
@@ -214,6 +214,7 @@
     result.packet_address = this->settings.packet_address;
     result.load = this->load(now);
     result.policy_revision = this->policy_in_force->revision();
+    result.policy_digest = this->policy_in_force->digest();
     result.entry_count = static_cast<std::uint32_t>(this->entries.size());
     result.is_stopping = this->stopping;
     result.has_left = this->monitor.has_departed();
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -44,7 +44,12 @@
     {
         return;
     }
+    const bool is_same = value->has_contents_of(*this->policy_in_force);
     this->policy_in_force = std::move(value);
+    if (is_same)
+    {
+        return;
+    }
     const bool withdrawn = this->policy_in_force->value().is_withdrawn(
         this->settings.failure_domain);
     if (this->was_withdrawn && !withdrawn)
@@ -205,11 +210,20 @@
 {
     known_entry& entry = this->entries[sender];
     entry.heard = now;
-    if (message.policy_revision > this->policy_in_force->revision())
+    const policy& current = *this->policy_in_force;
+    const bool is_newer = message.policy_revision > current.revision();
+    const bool is_same =
+        current.is_known() && message.policy_digest == current.digest();
+    if (is_newer && is_same)
+    {
+        this->policy_in_force =
+            std::make_shared<policy>(current, message.policy_revision);
+    }
+    else if (is_newer)
     {
         this->output.fetch_policy(sender);
     }
-    else if (message.policy_revision == this->policy_in_force->revision())
+    if (message.policy_revision == this->policy_in_force->revision())
     {
         this->freeze.on_answer(now);
     }
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -40,7 +40,12 @@
     {
         return;
     }
+    const bool is_same = value->has_contents_of(*this->policy_in_force);
     this->policy_in_force = std::move(value);
+    if (is_same)
+    {
+        return;
+    }
     this->emit(
         now, flow_event_kind::policy_in_force, {}, {}, result_code::done);
     this->greet_all(now);
--- a/src/flow/entry_members.cpp
+++ b/src/flow/entry_members.cpp
@@ -60,10 +60,25 @@
                    : flow_event_kind::member_returned,
             {}, sender, message.load.refusal);
     }
-    if (message.policy_revision > this->policy_in_force->revision())
+    this->on_peer_policy(
+        sender, message.policy_revision, message.policy_digest);
+}
+
+void entry_flow_core::on_peer_policy(
+    instance_id peer, std::uint64_t revision, std::uint64_t digest)
+{
+    if (revision <= this->policy_in_force->revision())
+    {
+        return;
+    }
+    if (this->policy_in_force->is_known() &&
+        digest == this->policy_in_force->digest())
     {
-        this->output.fetch_policy(sender);
+        this->policy_in_force =
+            std::make_shared<policy>(*this->policy_in_force, revision);
+        return;
     }
+    this->output.fetch_policy(peer);
 }
 
 void entry_flow_core::greet(time_point now, directory_member& member)
@@ -71,7 +86,9 @@
     member.greeted = now;
     this->output.send(
         member.record.id,
-        entry_hello{this->policy_in_force->revision(), member.is_listed});
+        entry_hello{
+            this->policy_in_force->revision(), member.is_listed,
+            this->policy_in_force->digest()});
 }
 
 void entry_flow_core::greet_due(time_point now)
--- a/src/flow/policy.cpp
+++ b/src/flow/policy.cpp
@@ -1,11 +1,15 @@
 #include "masticslip/flow/policy.hpp"
 
+#include <xxhash.h>
+
 namespace masticslip
 {
 
 policy::policy(std::uint64_t revision, configuration value)
     : number(revision), document(std::move(value))
 {
+    const std::string text = serialize_configuration(this->document);
+    this->contents_digest = XXH3_64bits(text.data(), text.size());
     this->routes.reserve(this->document.routes.size());
     for (std::uint32_t i = 0; i < this->document.routes.size(); ++i)
     {
@@ -13,6 +17,11 @@
     }
 }
 
+policy::policy(const policy& other, std::uint64_t revision) : policy(other)
+{
+    this->number = revision;
+}
+
 const route_definition* policy::find_route(const endpoint& target) const
 {
     const auto found = this->routes.find(target);
--- a/src/wire/flow_message_codec.cpp
+++ b/src/wire/flow_message_codec.cpp
@@ -65,6 +65,7 @@
 {
     archive.plain(message.policy_revision);
     archive.plain(message.is_listed);
+    archive.plain(message.policy_digest);
 }
 
 template <class Archive, is_message<companion_report> Message>
@@ -79,6 +80,7 @@
     archive.plain(message.entry_count);
     archive.plain(message.is_stopping);
     archive.plain(message.has_left);
+    archive.plain(message.policy_digest);
 }
 
 template <class Archive, is_message<flow_opened> Message>
--- a/src/wire/flow_message_codec_test.cpp
+++ b/src/wire/flow_message_codec_test.cpp
@@ -15,9 +15,9 @@
 const upstream_load load{3, 40, 5, result_code::not_run_upstream_cold, true, 2};
 
 const std::vector<flow_message> messages{
-    entry_hello{77, false},
+    entry_hello{77, false, 11},
     companion_report{
-        "side-1", "meetups", "kgl-nyr", {5, 6}, load, 78, 4, true, true},
+        "side-1", "meetups", "kgl-nyr", {5, 6}, load, 78, 4, true, true, 12},
     flow_opened{flow, 99, load},
     flow_refused{flow, result_code::not_run_overloaded, load},
     owner_query{flow, 12},
--- a/tests/flow/companion_flow_core_test.cpp
+++ b/tests/flow/companion_flow_core_test.cpp
@@ -454,4 +454,69 @@
     BOOST_TEST(output.to_upstream == 4U);
 }
 
+/// A peer's policy against policy 7 in force.
+struct peer_policy_case
+{
+    const char* name;
+    std::uint64_t revision;
+    bool has_same_contents;
+    std::size_t fetches;
+    std::uint64_t revision_after;
+};
+
+std::ostream& operator<<(std::ostream& stream, const peer_policy_case& value)
+{
+    return stream << value.name;
+}
+
+const std::vector<peer_policy_case> peer_policy_cases{
+    {"newer_contents_are_fetched", 9, false, 1, 7},
+    {"the_same_contents_at_a_newer_revision_are_not", 9, true, 0, 9},
+    {"older_contents_are_not", 5, false, 0, 7},
+    {"the_same_contents_at_an_older_revision_are_not", 5, true, 0, 7}};
+
+BOOST_DATA_TEST_CASE_F(
+    companion_fixture,
+    a_hello_is_compared_by_revision_and_contents,
+    boost::unit_test::data::make(peer_policy_cases),
+    item)
+{
+    make_ready();
+    const std::uint64_t digest =
+        item.has_same_contents ? test_policy(7)->digest() : 1;
+
+    core.on_message(at(10ms), entry, entry_hello{item.revision, true, digest});
+
+    BOOST_TEST(output.fetches.size() == item.fetches);
+    BOOST_TEST(core.current_policy().revision() == item.revision_after);
+    BOOST_TEST(core.current_policy().find_route(test_target) != nullptr);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_full_companion_tells_a_refused_entry_of_new_room, companion_fixture)
+{
+    make_ready();
+    constexpr std::uint16_t limit = 20;
+    for (std::uint16_t i = 0; i < limit; ++i)
+    {
+        open(test_flow(i), at(1ms));
+    }
+    core.on_caller_packet(at(2ms), entry, opening_packet(test_flow(99)));
+    BOOST_TEST(
+        to_string(refusal()) ==
+        std::string(to_string(result_code::not_run_overloaded)));
+    output.sent.clear();
+
+    flow_packet answer =
+        data_packet(test_flow(1), upstream_sequence + 1, 1'101);
+    answer.origin = packet_origin::upstream;
+    core.on_upstream_packet(at(3ms), answer);
+    core.on_upstream_packet(at(4ms), answer);
+
+    const auto notices = messages_of<companion_report>(output.sent);
+    BOOST_REQUIRE(notices.size() == 1U);
+    BOOST_TEST((output.sent[0].to == entry));
+    BOOST_TEST((notices[0].load.refusal == result_code::done));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/flow/entry_flow_core_test.cpp
+++ b/tests/flow/entry_flow_core_test.cpp
@@ -283,4 +283,53 @@
     BOOST_TEST(output.packets.empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    the_same_policy_at_a_newer_revision_is_not_fetched, entry_fixture)
+{
+    make_ready(1);
+    companion_report report = ready_report(1);
+    report.policy_revision = 9;
+    report.policy_digest = core.current_policy().digest();
+    core.on_message(at(1ms), companion(1), report);
+    BOOST_TEST(output.fetches.empty());
+    BOOST_TEST(core.current_policy().revision() == 9U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    many_waiting_openings_cost_one_try_at_a_full_companion, entry_fixture)
+{
+    core.on_policy(at(0ms), test_policy(7));
+    companion_report full = ready_report(1);
+    full.load.refusal = result_code::not_run_overloaded;
+    core.on_message(at(0ms), companion(1), full);
+    for (std::uint16_t i = 0; i < 50; ++i)
+    {
+        core.on_caller_packet(at(0ms), opening_packet(test_flow(i)));
+    }
+    core.on_tick(at(20ms));
+    BOOST_TEST(output.packets.empty());
+
+    core.on_tick(at(60ms));
+    core.on_tick(at(80ms));
+
+    BOOST_TEST(output.packets.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_notice_of_room_lets_waiting_openings_be_placed_at_once, entry_fixture)
+{
+    core.on_policy(at(0ms), test_policy(7));
+    companion_report full = ready_report(1);
+    full.load.refusal = result_code::not_run_overloaded;
+    core.on_message(at(0ms), companion(1), full);
+    core.on_caller_packet(at(0ms), opening_packet(test_flow(1)));
+
+    core.on_message(at(5ms), companion(1), ready_report(1));
+
+    BOOST_REQUIRE(core.next_deadline().has_value());
+    BOOST_TEST((*core.next_deadline() == at(5ms)));
+    core.on_tick(at(5ms));
+    BOOST_TEST(output.packets.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/flow/waiting_order_test.cpp
@@ -0,0 +1,82 @@
+// Order in which openings that wait for room are placed.
+
+#include "masticslip/flow/waiting_order.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace masticslip;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// An opening by when it came, and its route.
+struct arrival
+{
+    std::chrono::milliseconds first_seen;
+    std::chrono::milliseconds target_latency;
+    std::uint32_t priority;
+};
+
+/// Arrivals, and their positions in the order of placement at 1,000 ms.
+struct order_case
+{
+    const char* name;
+    std::vector<arrival> arrivals;
+    std::vector<std::uint16_t> order;
+};
+
+std::ostream& operator<<(std::ostream& stream, const order_case& value)
+{
+    return stream << value.name;
+}
+
+const std::vector<order_case> order_cases{
+    {"the_target_that_ends_first_goes_first",
+     {{950ms, 200ms, 1}, {900ms, 500ms, 1}, {960ms, 150ms, 1}},
+     {2, 0, 1}},
+    {"late_ones_follow_those_in_time",
+     {{500ms, 200ms, 1}, {990ms, 200ms, 1}},
+     {1, 0}},
+    {"late_ones_are_in_order_of_arrival",
+     {{600ms, 200ms, 1}, {500ms, 200ms, 1}, {700ms, 100ms, 1}},
+     {1, 0, 2}},
+    {"priority_goes_before_both",
+     {{990ms, 200ms, 2}, {500ms, 200ms, 1}, {995ms, 200ms, 1}},
+     {2, 1, 0}}};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(waiting_order)
+
+BOOST_DATA_TEST_CASE(
+    sorts_by_what_can_still_be_met,
+    boost::unit_test::data::make(order_cases),
+    item)
+{
+    const time_point start{std::chrono::hours(1)};
+    std::vector<waiting_opening> openings;
+    for (std::size_t i = 0; i < item.arrivals.size(); ++i)
+    {
+        const arrival& source = item.arrivals[i];
+        waiting_opening opening;
+        opening.flow.caller.port = static_cast<std::uint16_t>(i);
+        opening.first_seen = start + source.first_seen;
+        opening.target_latency = source.target_latency;
+        opening.priority = source.priority;
+        openings.push_back(opening);
+    }
+
+    sort_waiting(start + 1'000ms, openings);
+
+    std::vector<std::uint16_t> order;
+    for (const auto& opening : openings)
+    {
+        order.push_back(opening.flow.caller.port);
+    }
+    BOOST_TEST(order == item.order, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
