Add a fault soak with real processes

soak/: masticslip_node processes on loopback among stand-ins for the store, the fabric, upstreams and callers, with a TCP proxy before the store for each process. 14 kinds of faults drawn from a seed: kills, stops, pauses, reloads, harmed links (slow, refused, silent, one way), eight faults of the store, ended leases, dropped history, crashed and replaced upstreams, late statuses, withdrawn domains, configurations in series, many kills at once. Promises are checked while it runs: service isolation, draining, withdrawal, resets of held flows, one run of what must not be repeated; and 99 % served in the last 4 s of 12 calm ones. The checks moved out of the virtual fleet into promise_checker, which both use.

--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,162 @@
+// flow_soak: real processes under random faults; exits with 1 if a promise was
+// broken or service did not come back.
+
+#include "fault_plan.hpp"
+#include "masticslip_version.hpp"
+
+#include <tclap/CmdLine.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+
+#include <unistd.h>
+
+namespace
+{
+
+using namespace masticslip;
+using namespace masticslip::soak;
+using namespace std::chrono_literals;
+
+constexpr int exit_usage = 2;
+/// Calm time at the end, in which service must come back: twice the time
+/// after which a lost machine's faults no longer count, and a cold start.
+constexpr std::chrono::seconds calm_time{12};
+/// The end of it, in which it is measured.
+constexpr std::chrono::seconds measured_time{4};
+/// Smallest share of requests that must be served then.
+constexpr double served_bound = 0.99;
+
+struct options
+{
+    soak_settings settings;
+    std::uint64_t first_seed = 1;
+    std::uint64_t seeds = 1;
+    std::chrono::seconds length{20};
+    std::chrono::milliseconds gap{700};
+    bool keeps_logs = false;
+};
+
+/// Plays one seed; true if all promises held.
+bool play(const options& chosen, std::uint64_t seed)
+{
+    soak_settings settings = chosen.settings;
+    settings.seed = seed;
+    settings.folder = (std::filesystem::temp_directory_path() /
+                       ("masticslip-soak-" + std::to_string(::getpid()) + "-" +
+                        std::to_string(seed)))
+                          .string();
+    std::filesystem::create_directories(settings.folder);
+    const std::chrono::milliseconds end = chosen.length;
+    bool kept = false;
+    {
+        soak_world world(settings);
+        std::string reason;
+        if (!world.start(reason))
+        {
+            std::cout << "seed " << seed << ": not started: " << reason
+                      << "; logs in " << settings.folder << std::endl;
+            return false;
+        }
+        world.start_load(chosen.length + calm_time);
+        for (const auto& fault : draw_faults(seed, settings, end, chosen.gap))
+        {
+            world.at(fault.at, [&world, fault] { fault.apply(world); });
+            if (chosen.keeps_logs)
+            {
+                std::cout << "  " << fault.at.count() << " ms: " << fault.name
+                          << '\n';
+            }
+        }
+        world.run(end + calm_time + 2s);
+        const double served = world.served_share(
+            end + calm_time - measured_time, end + calm_time);
+        const double during = world.served_share(0ms, end);
+        const auto& violations = world.checker().violations();
+        kept = violations.empty() && served >= served_bound;
+        std::cout << "seed " << seed << ": " << (kept ? "kept" : "BROKEN")
+                  << ", served " << during << " during faults, " << served
+                  << " after, " << violations.size() << " broken promises"
+                  << std::endl;
+        for (const auto& text : violations)
+        {
+            std::cout << "  broken: " << text << std::endl;
+        }
+    }
+    if (kept && !chosen.keeps_logs)
+    {
+        std::filesystem::remove_all(settings.folder);
+    }
+    else
+    {
+        std::cout << "  logs in " << settings.folder << std::endl;
+    }
+    return kept;
+}
+
+std::optional<options> read_options(int argc, char** argv)
+{
+    options result;
+    try
+    {
+        TCLAP::CmdLine line(
+            "Runs masticslip_node processes under random faults.", ' ',
+            version_text);
+        TCLAP::ValueArg<std::uint64_t> seed(
+            "s", "seed", "First seed", false, 1, "NUMBER", line);
+        TCLAP::ValueArg<std::uint64_t> count(
+            "n", "seeds", "How many seeds", false, 1, "NUMBER", line);
+        TCLAP::ValueArg<int> seconds(
+            "t", "seconds", "Time with faults", false, 20, "SECONDS", line);
+        TCLAP::ValueArg<int> gap(
+            "g", "gap-ms", "Mean time between faults", false, 700,
+            "MILLISECONDS", line);
+        TCLAP::ValueArg<std::uint32_t> entries(
+            "e", "entries", "Entries", false, 3, "NUMBER", line);
+        TCLAP::ValueArg<std::uint32_t> meetups(
+            "m", "hosts", "Upstreams of the first service", false, 5, "NUMBER",
+            line);
+        TCLAP::ValueArg<std::uint32_t> network(
+            "", "network", "Second part of the loopback addresses", false, 77,
+            "NUMBER", line);
+        TCLAP::SwitchArg logs(
+            "", "keep-logs", "Keep the logs and print the faults", line);
+        line.parse(argc, argv);
+        result.first_seed = seed.getValue();
+        result.seeds = count.getValue();
+        result.length = std::chrono::seconds(seconds.getValue());
+        result.gap = std::chrono::milliseconds(gap.getValue());
+        result.settings.entries = entries.getValue();
+        result.settings.meetups = meetups.getValue();
+        result.settings.network = static_cast<std::uint8_t>(network.getValue());
+        result.keeps_logs = logs.getValue();
+    }
+    catch (const TCLAP::ArgException& error)
+    {
+        std::cerr << "flow_soak: " << error.error() << '\n';
+        return std::nullopt;
+    }
+    result.settings.program =
+        (std::filesystem::absolute(argv[0]).parent_path() / "masticslip_node")
+            .string();
+    return result;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto chosen = read_options(argc, argv);
+    if (!chosen)
+    {
+        return exit_usage;
+    }
+    std::uint64_t broken = 0;
+    for (std::uint64_t i = 0; i < chosen->seeds; ++i)
+    {
+        broken += play(*chosen, chosen->first_seed + i) ? 0 : 1;
+    }
+    std::cout << chosen->seeds << " seeds, " << broken << " broken\n";
+    return broken == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/soak/node_process.cpp
@@ -0,0 +1,64 @@
+#include "node_process.hpp"
+
+#include <boost/process.hpp>
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+
+namespace masticslip::soak
+{
+
+namespace bp = boost::process;
+
+node_process::node_process(
+    std::string program,
+    std::string role,
+    std::string name,
+    std::string folder,
+    const std::string& settings)
+    : program(std::move(program)), role(std::move(role)), name(std::move(name)),
+      folder(std::move(folder))
+{
+    std::ofstream(this->folder + "/" + this->name + ".conf") << settings;
+}
+
+node_process::~node_process()
+{
+    if (this->is_running())
+    {
+        this->signal(SIGCONT);
+        this->signal(SIGKILL);
+        std::error_code ignored;
+        this->child->wait(ignored);
+    }
+}
+
+void node_process::start()
+{
+    bp::environment variables = boost::this_process::environment();
+    variables["MASTICSLIP_NODE_FILE"] =
+        this->folder + "/" + this->name + ".conf";
+    // The log goes on over restarts.
+    std::FILE* log = std::fopen(this->log_file().c_str(), "a");
+    this->child = std::make_unique<bp::child>(
+        this->program, this->role, variables, bp::std_out > log,
+        bp::std_err > log, bp::std_in < bp::null);
+    std::fclose(log);
+}
+
+void node_process::signal(int number)
+{
+    if (this->is_running())
+    {
+        ::kill(this->child->id(), number);
+    }
+}
+
+bool node_process::is_running()
+{
+    std::error_code error;
+    return this->child && this->child->running(error) && !error;
+}
+
+} // namespace masticslip::soak
--- /dev/null
+++ b/soak/node_process.hpp
@@ -0,0 +1,57 @@
+#pragma once
+/// One real process of masticslip with its settings file and its log.
+
+#include "masticslip/core/types.hpp"
+
+#include <boost/process/child.hpp>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace masticslip::soak
+{
+
+/// Ends its process when destroyed. Not thread-safe.
+class node_process
+{
+public:
+    /// `settings` is the text of the settings file; `folder` takes it and the
+    /// log.
+    node_process(
+        std::string program,
+        std::string role,
+        std::string name,
+        std::string folder,
+        const std::string& settings);
+    ~node_process();
+
+    node_process(const node_process&) = delete;
+    node_process& operator=(const node_process&) = delete;
+
+    void start();
+
+    /// Sends a signal if the process runs.
+    void signal(int number);
+
+    [[nodiscard]] bool is_running();
+
+    [[nodiscard]] const std::string& label() const
+    {
+        return this->name;
+    }
+
+    [[nodiscard]] std::string log_file() const
+    {
+        return this->folder + "/" + this->name + ".log";
+    }
+
+private:
+    std::string program;
+    std::string role;
+    std::string name;
+    std::string folder;
+    std::unique_ptr<boost::process::child> child;
+};
+
+} // namespace masticslip::soak
--- /dev/null
+++ b/soak/tests/soak_parts_test.cpp
@@ -0,0 +1,196 @@
+// Parts of the soak: the proxy that harms connections, the plan of faults and
+// the packets of stand-ins in the platform's layout.
+
+#include "fault_plan.hpp"
+#include "fault_proxy.hpp"
+#include "net/http.hpp"
+#include "platform/packet_bridge.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace masticslip;
+using namespace masticslip::soak;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds call_limit{700};
+
+/// A server behind a proxy.
+struct proxied_server
+{
+    proxied_server()
+        : server(
+              context,
+              [this](http_request request, boost::beast::tcp_stream&)
+                  -> boost::asio::awaitable<std::optional<http_response>>
+              {
+                  ++this->served;
+                  co_return make_response(
+                      request, boost::beast::http::status::ok, "{}");
+              })
+    {
+        std::string reason;
+        BOOST_REQUIRE_MESSAGE(server.open({0x7F000001, 0}, reason), reason);
+        proxy = std::make_unique<fault_proxy>(
+            context, endpoint{0x7F000001, 0}, server.local());
+        BOOST_REQUIRE_MESSAGE(proxy->open(reason), reason);
+    }
+
+    /// True if a call through the proxy is answered; sets `taken`.
+    bool call()
+    {
+        std::optional<bool> answered;
+        boost::asio::co_spawn(
+            context,
+            [&]() -> boost::asio::awaitable<void>
+            {
+                http_call request;
+                request.server = proxy->local();
+                request.target = "/";
+                request.timeout = call_limit;
+                std::string problem;
+                const auto answer =
+                    co_await send_http(std::move(request), problem);
+                answered = answer.has_value();
+            },
+            boost::asio::detached);
+        const auto begin = std::chrono::steady_clock::now();
+        while (!answered)
+        {
+            context.restart();
+            context.run_for(10ms);
+        }
+        taken = std::chrono::steady_clock::now() - begin;
+        return *answered;
+    }
+
+    boost::asio::io_context context{1};
+    int served = 0;
+    std::chrono::steady_clock::duration taken{};
+    http_server server;
+    std::unique_ptr<fault_proxy> proxy;
+};
+
+struct mode_case
+{
+    const char* name;
+    proxy_mode mode;
+    bool is_answered;
+    int served;
+};
+
+std::ostream& operator<<(std::ostream& stream, const mode_case& value)
+{
+    return stream << value.name;
+}
+
+const std::vector<mode_case> mode_cases{
+    {"pass", proxy_mode::pass, true, 1},
+    {"slow", proxy_mode::slow, true, 1},
+    {"refuse", proxy_mode::refuse, false, 0},
+    {"silent", proxy_mode::silent, false, 0},
+    {"one_way", proxy_mode::one_way, false, 1}};
+
+std::string names_of(const std::vector<planned_fault>& plan)
+{
+    std::string result;
+    for (const auto& fault : plan)
+    {
+        result += std::to_string(fault.at.count()) + " " + fault.name + "\n";
+    }
+    return result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(soak_parts)
+
+BOOST_DATA_TEST_CASE_F(
+    proxied_server,
+    a_proxy_harms_connections_by_its_mode,
+    boost::unit_test::data::make(mode_cases),
+    item)
+{
+    proxy->set_mode(item.mode);
+    BOOST_TEST(call() == item.is_answered);
+    BOOST_TEST(served == item.served);
+    const bool is_slow = taken >= fault_proxy::delay;
+    BOOST_TEST(
+        is_slow ==
+        (item.mode == proxy_mode::slow || item.mode == proxy_mode::silent ||
+         item.mode == proxy_mode::one_way));
+
+    proxy->set_mode(proxy_mode::pass);
+    BOOST_TEST(call());
+}
+
+BOOST_AUTO_TEST_CASE(the_same_seed_draws_the_same_faults)
+{
+    const soak_settings settings;
+    const auto first = names_of(draw_faults(7, settings, 60s, 700ms));
+    BOOST_TEST(first == names_of(draw_faults(7, settings, 60s, 700ms)));
+    BOOST_TEST(first != names_of(draw_faults(8, settings, 60s, 700ms)));
+}
+
+BOOST_AUTO_TEST_CASE(faults_come_within_their_time)
+{
+    const auto plan = draw_faults(3, {}, 30s, 500ms);
+    BOOST_TEST(plan.size() > 30U);
+    for (const auto& fault : plan)
+    {
+        BOOST_TEST(fault.at.count() >= 1'000);
+        BOOST_TEST(fault.at.count() < 30'000);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(packets_keep_their_fields_in_the_platforms_layout)
+{
+    standin::virtual_packet packet;
+    packet.flow = {{0x7F4D6401, 4'000}, {0xC6120001, 443}};
+    packet.flags.acknowledges = true;
+    packet.flags.closes = true;
+    packet.sequence = 17;
+    packet.acknowledged = 18;
+    packet.payload_size = 1'200;
+    packet.request = 99;
+    packet.part = 3;
+    packet.parts = 10;
+    for (const bool from_caller : {true, false})
+    {
+        packet.from_caller = from_caller;
+        const bytes datagram = standin::to_datagram(packet);
+        const auto read = standin::from_datagram(datagram, from_caller);
+        BOOST_REQUIRE(read.has_value());
+        BOOST_TEST(to_string(read->flow) == to_string(packet.flow));
+        BOOST_TEST(read->request == packet.request);
+        BOOST_TEST(read->part == packet.part);
+        BOOST_TEST(read->parts == packet.parts);
+        BOOST_TEST(read->flags.closes);
+        BOOST_TEST(!read->flags.opens);
+        BOOST_TEST(read->sequence == packet.sequence);
+        BOOST_TEST(read->acknowledged == packet.acknowledged);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_bounced_packet_is_read_as_its_callers)
+{
+    standin::virtual_packet packet;
+    packet.flow = {{0x7F4D6401, 4'000}, {0xC6120001, 443}};
+    packet.flags.opens = true;
+    packet.flags.bounced = true;
+    const auto read =
+        standin::from_datagram(standin::to_datagram(packet), false);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(to_string(read->flow) == to_string(packet.flow));
+    BOOST_TEST(read->from_caller);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/standins/flow/event_queue.hpp
+++ b/standins/flow/event_queue.hpp
@@ -16,6 +16,13 @@
 public:
     using action = std::function<void()>;
 
+    /// Time of a new queue. Later than zero, which stands for "never" in the
+    /// cores.
+    static constexpr time_point start()
+    {
+        return time_point(std::chrono::hours(1));
+    }
+
     [[nodiscard]] time_point now() const
     {
         return this->current;
@@ -56,8 +63,7 @@
 
     std::priority_queue<item> items;
     std::uint64_t counter = 0;
-    /// Later than zero, which stands for "never" in the cores.
-    time_point current{std::chrono::hours(1)};
+    time_point current = start();
 };
 
 } // namespace masticslip::standin
--- a/standins/flow/virtual_callers.cpp
+++ b/standins/flow/virtual_callers.cpp
@@ -10,7 +10,6 @@
 namespace
 {
 
-constexpr std::uint32_t first_caller = 0x64400000;
 constexpr std::uint16_t first_port = 1'024;
 constexpr std::uint32_t ports_per_caller = 60'000;
 constexpr std::uint32_t first_sequence = 1'000;
@@ -69,6 +68,10 @@
     item.asked = this->queue.now();
     item.tries_left = kind.retries;
     item.request = this->next_request++;
+    if (kind.kind != request_kind::safe)
+    {
+        this->unrepeatable.insert(item.request);
+    }
     std::lognormal_distribution<double> spread(0, 0.4);
     this->work[item.request] = duration(static_cast<std::int64_t>(
         static_cast<double>(duration(kind.work).count()) *
@@ -101,7 +104,7 @@
     this->close(item);
     const std::uint32_t number = this->next_port++;
     item.flow = flow_ends{
-        {first_caller + number / ports_per_caller,
+        {this->first_address + number / ports_per_caller,
          static_cast<std::uint16_t>(first_port + number % ports_per_caller)},
         this->classes[item.class_index].target};
     item.last_flow = *item.flow;
--- a/standins/flow/virtual_callers.hpp
+++ b/standins/flow/virtual_callers.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <vector>
 
 namespace masticslip::standin
@@ -52,6 +53,12 @@
     {
     }
 
+    /// Callers have this address and the following ones.
+    void set_first_address(std::uint32_t address)
+    {
+        this->first_address = address;
+    }
+
     /// Sends requests of a class until `end`.
     void start(const request_class& item, time_point end);
 
@@ -80,6 +87,12 @@
         return this->late;
     }
 
+    /// True if a request may run more than once.
+    [[nodiscard]] bool is_repeatable(std::uint64_t request) const
+    {
+        return !this->unrepeatable.contains(request);
+    }
+
     /// Work that a request takes at its upstream.
     [[nodiscard]] duration work_of(std::uint64_t request) const;
 
@@ -129,7 +142,9 @@
     std::vector<ended_request> ended;
     std::vector<flow_ends> failed;
     std::vector<flow_ends> late;
+    std::set<std::uint64_t> unrepeatable;
     std::uint64_t next_request = 1;
+    std::uint32_t first_address = 0x64400000;
     std::uint32_t next_port = 0;
 };
 
--- a/standins/flow/virtual_fleet_faults.cpp
+++ b/standins/flow/virtual_fleet_faults.cpp
@@ -190,14 +190,14 @@
 void virtual_flow_fleet::withdraw(std::uint32_t domain)
 {
     this->withdrawn.insert(domain_name(domain));
-    this->withdrawn_since[domain_name(domain)] = this->queue.now();
+    this->checker.on_withdrawn(domain_name(domain), this->queue.now());
     this->publish_policy();
 }
 
 void virtual_flow_fleet::restore(std::uint32_t domain)
 {
     this->withdrawn.erase(domain_name(domain));
-    this->withdrawn_since.erase(domain_name(domain));
+    this->checker.on_restored(domain_name(domain));
     this->publish_policy();
 }
 
--- a/standins/flow/virtual_flow_fleet.cpp
+++ b/standins/flow/virtual_flow_fleet.cpp
@@ -25,10 +25,17 @@
 /// The fabric asks for readiness this often and believes two misses.
 constexpr std::chrono::milliseconds probe_interval{500};
 constexpr int believed_misses = 2;
-/// A withdrawn domain gets no new flow after this.
-constexpr std::chrono::milliseconds withdraw_bound{5'000};
-/// A leaving upstream gets no new flow after this.
-constexpr std::chrono::milliseconds drain_bound{3'000};
+
+std::map<endpoint, std::string> services_of(const fleet_shape& shape)
+{
+    std::map<endpoint, std::string> result;
+    for (const auto& service : shape.services)
+    {
+        result[service.address] = service.name;
+    }
+    return result;
+}
+
 constexpr std::chrono::milliseconds core_tick{20};
 /// A machine counts as disturbed for this long after a cut or freeze: what
 /// others believe of it may be old (`contact_ms` of the platform's bounds).
@@ -79,7 +86,11 @@
           this->queue,
           seed + 1,
           [this](const virtual_packet& packet)
-          { this->route_to_entry(packet); })
+          { this->route_to_entry(packet); }),
+      checker(
+          {promise_bounds{}.withdraw, promise_bounds{}.drain,
+           this->shape.cold_flows_per_second},
+          services_of(this->shape))
 {
     this->publish_policy();
     std::uint32_t placed = 0;
@@ -171,13 +182,6 @@
         process + " " + time.data() + " level=info " + text + "\n";
 }
 
-void virtual_flow_fleet::report(const std::string& text)
-{
-    const auto seconds = std::chrono::duration<double>(
-        this->queue.now().time_since_epoch() - std::chrono::hours(1));
-    this->broken.push_back(std::to_string(seconds.count()) + " s: " + text);
-}
-
 // Processes.
 
 void virtual_flow_fleet::add_entry()
@@ -652,9 +656,8 @@
         if (process->host->holds(flow) && this->clients.is_open(flow) &&
             !is_disturbed)
         {
-            this->report(
-                "reset of " + to_string(flow) + ", which host " +
-                std::to_string(process->index) + " holds");
+            this->checker.on_reset_of_held_flow(
+                now, flow, "host " + std::to_string(process->index));
         }
     }
     this->queue.after(
@@ -679,40 +682,12 @@
     std::size_t index, const virtual_packet& packet)
 {
     const companion_process& process = *this->companions[index];
-    const time_point now = this->queue.now();
-    for (const auto& service : this->shape.services)
-    {
-        if (service.address == packet.flow.target &&
-            service.name != process.service)
-        {
-            report(
-                "a flow for " + service.name + " reaches host " +
-                std::to_string(index) + " of " + process.service);
-        }
-    }
-    const auto since = this->withdrawn_since.find(domain_name(process.domain));
-    if (since != this->withdrawn_since.end() &&
-        now - since->second > withdraw_bound)
-    {
-        report("a flow reaches withdrawn host " + std::to_string(index));
-    }
-    if (process.drain_acknowledged != time_point{} &&
-        now - process.drain_acknowledged > drain_bound)
-    {
-        report("a flow reaches leaving host " + std::to_string(index));
-    }
-    if (process.host->is_cold() && this->shape.cold_flows_per_second > 0)
-    {
-        const auto recent = std::count_if(
-            process.host->openings.begin(), process.host->openings.end(),
-            [now](time_point at) { return now - at < 1s; });
-        if (static_cast<double>(recent) > this->shape.cold_flows_per_second)
-        {
-            report(
-                "cold host " + std::to_string(index) + " gets " +
-                std::to_string(recent) + " flows in a second");
-        }
-    }
+    this->checker.on_opening(
+        this->queue.now(),
+        {"host " + std::to_string(index), process.service,
+         domain_name(process.domain), process.drain_acknowledged,
+         process.host->is_cold(), &process.host->openings},
+        packet.flow);
 }
 
 void virtual_flow_fleet::from_host(
--- a/standins/flow/virtual_flow_fleet.hpp
+++ b/standins/flow/virtual_flow_fleet.hpp
@@ -12,6 +12,7 @@
 
 #include "masticslip/flow/companion_flow_core.hpp"
 #include "masticslip/flow/entry_flow_core.hpp"
+#include "promise_checker.hpp"
 #include "virtual_callers.hpp"
 #include "virtual_host.hpp"
 
@@ -124,7 +125,7 @@
     /// Broken promises, each with its time.
     [[nodiscard]] const std::vector<std::string>& violations() const
     {
-        return this->broken;
+        return this->checker.violations();
     }
 
     /// Largest share of a host's requests over the mean of its service.
@@ -175,7 +176,6 @@
     [[nodiscard]] duration delay(std::uint32_t from, std::uint32_t to) const;
     [[nodiscard]] bool is_lost();
     [[nodiscard]] std::uint32_t domain_of(instance_id id) const;
-    void report(const std::string& text);
     void write_log(const std::string& process, const std::string& text);
     /// Runs work of a process unless it is frozen or has ended.
     template <class Process, class Work>
@@ -195,12 +195,11 @@
     std::set<std::pair<std::uint32_t, std::uint32_t>> cuts;
     time_point healed_at;
     std::set<std::string> withdrawn;
-    std::map<std::string, time_point> withdrawn_since;
     std::shared_ptr<const policy> newest;
     std::uint64_t revision = 0;
     std::uint64_t control_count = 0;
     bool store_up = true;
-    std::vector<std::string> broken;
+    promise_checker checker;
 };
 
 } // namespace masticslip::standin
--- /dev/null
+++ b/standins/platform/packet_bridge.cpp
@@ -0,0 +1,103 @@
+#include "packet_bridge.hpp"
+
+#include "packet_head.hpp"
+
+#include <boost/endian/conversion.hpp>
+
+#include <algorithm>
+
+namespace masticslip::standin
+{
+
+namespace endian = boost::endian;
+
+namespace
+{
+
+constexpr std::size_t flags_at = 6;
+constexpr std::size_t destination_at = 12;
+constexpr std::size_t source_port_at = 16;
+constexpr std::size_t destination_port_at = 18;
+constexpr std::size_t source_at = 20;
+constexpr std::size_t sequence_at = 24;
+constexpr std::size_t acknowledged_at = 28;
+
+/// The data begin with the request, the part and how it ended.
+constexpr std::size_t request_at = platform::head_size;
+constexpr std::size_t part_at = request_at + 8;
+constexpr std::size_t parts_at = part_at + 2;
+constexpr std::size_t not_run_at = parts_at + 2;
+constexpr std::size_t marked_size = not_run_at + 1;
+
+std::uint8_t flag_bits(const packet_flags& flags)
+{
+    constexpr std::uint8_t reset = 4;
+    constexpr std::uint8_t acknowledge = 16;
+    constexpr std::uint8_t close = 32;
+    constexpr std::uint8_t open = 64;
+    constexpr std::uint8_t bounced = 128;
+    return static_cast<std::uint8_t>(
+        (flags.resets ? reset : 0) | (flags.acknowledges ? acknowledge : 0) |
+        (flags.closes ? close : 0) | (flags.opens ? open : 0) |
+        (flags.bounced ? bounced : 0));
+}
+
+} // namespace
+
+bytes to_datagram(const virtual_packet& packet)
+{
+    const std::size_t size = platform::head_size + packet.payload_size;
+    bytes result(size);
+    std::uint8_t* head = result.data();
+    const bool forward = packet.from_caller;
+    const endpoint& source = forward ? packet.flow.caller : packet.flow.target;
+    const endpoint& target = forward ? packet.flow.target : packet.flow.caller;
+    endian::store_little_u16(head, packet.payload_size);
+    head[flags_at] = flag_bits(packet.flags);
+    endian::store_little_u32(head + destination_at, target.address);
+    endian::store_little_u16(head + destination_port_at, target.port);
+    endian::store_little_u32(head + source_at, source.address);
+    endian::store_little_u16(head + source_port_at, source.port);
+    endian::store_little_u32(head + sequence_at, packet.sequence);
+    endian::store_little_u32(head + acknowledged_at, packet.acknowledged);
+    if (size >= marked_size)
+    {
+        endian::store_little_u64(head + request_at, packet.request);
+        endian::store_little_u16(head + part_at, packet.part);
+        endian::store_little_u16(head + parts_at, packet.parts);
+        head[not_run_at] = packet.not_run ? 1 : 0;
+    }
+    return result;
+}
+
+std::optional<virtual_packet>
+from_datagram(byte_view datagram, bool from_caller)
+{
+    static const platform::packet_head_codec codec;
+    failure_reason reason;
+    const auto head = codec.decode(
+        datagram, from_caller ? packet_origin::caller : packet_origin::upstream,
+        reason);
+    if (!head)
+    {
+        return std::nullopt;
+    }
+    virtual_packet result;
+    result.flow = head->flow;
+    result.from_caller = head->origin == packet_origin::caller;
+    result.flags = head->flags;
+    result.sequence = head->sequence;
+    result.acknowledged = head->acknowledged;
+    result.payload_size = head->payload_size;
+    if (datagram.size() >= marked_size)
+    {
+        const std::uint8_t* data = datagram.data();
+        result.request = endian::load_little_u64(data + request_at);
+        result.part = endian::load_little_u16(data + part_at);
+        result.parts = endian::load_little_u16(data + parts_at);
+        result.not_run = data[not_run_at] != 0;
+    }
+    return result;
+}
+
+} // namespace masticslip::standin
