Leave the rotation when no companion answers; take nobody for lost then

Change: peer_contact. Without an answer for 400 ms, or one greeting interval, after a question the entry is not ready, logs it, and takes no companion for lost; after a gap the wait begins anew.

--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -19,6 +19,7 @@
 #include "masticslip/flow/companion_directory.hpp"
 #include "masticslip/flow/flow_event.hpp"
 #include "masticslip/flow/flow_placement.hpp"
+#include "masticslip/flow/peer_contact.hpp"
 #include "masticslip/flow/policy.hpp"
 #include "masticslip/flow/waiting_order.hpp"
 
@@ -103,8 +104,8 @@
         return this->earliest_deadline;
     }
 
-    /// True if the policy is known and some companion has answered.
-    [[nodiscard]] bool is_ready() const;
+    /// True if the policy is known and companions answer.
+    [[nodiscard]] bool is_ready(time_point now) const;
 
     [[nodiscard]] const policy& current_policy() const
     {
@@ -221,6 +222,10 @@
     [[nodiscard]] bool
     is_lost(time_point now, const directory_member& member) const;
     [[nodiscard]] duration greeting_interval() const;
+    /// True if no companion answers.
+    [[nodiscard]] bool is_cut_off(time_point now) const;
+    /// Tells when contact with the companions is lost and found.
+    void watch_contact(time_point now);
     /// Compares a companion's policy with the one in force.
     void on_peer_policy(
         instance_id peer, std::uint64_t revision, std::uint64_t digest);
@@ -279,8 +284,8 @@
     /// No opening or look-up is due before this.
     std::optional<time_point> earliest_deadline;
     time_point next_sweep;
-    /// Time of the newest report of any companion.
-    time_point last_heard;
+    peer_contact contact;
+    bool was_cut_off = false;
     std::uint32_t known_entries = 0;
     bool heard_companion = false;
 };
--- a/include/masticslip/flow/flow_event.hpp
+++ b/include/masticslip/flow/flow_event.hpp
@@ -30,10 +30,12 @@
     member_returned,  ///< A silent companion answers again.
     upstream_changed, ///< The upstream's state or incarnation changed.
     status_refused,   ///< A status that is late or of a former incarnation.
-    freeze_detected   ///< The process stood still; what it knows may be old.
+    freeze_detected,  ///< The process stood still; what it knows may be old.
+    companions_lost,  ///< No companion answers: the entry is cut off.
+    companions_found  ///< Companions answer again.
 };
 
-constexpr std::size_t flow_event_count = 19;
+constexpr std::size_t flow_event_count = 21;
 
 /// Stable names, in the order of the enumeration.
 extern const std::array<std::string_view, flow_event_count> flow_event_names;
--- a/soak/soak_network.cpp
+++ b/soak/soak_network.cpp
@@ -120,8 +120,11 @@
         this->clients.on_packet(*packet);
         return;
     }
-    this->check_reset(sender, packet->flow);
-    this->clients.on_reset(packet->flow);
+    if (this->clients.takes_reset(packet->flow, packet->sequence))
+    {
+        this->check_reset(sender, packet->flow);
+    }
+    this->clients.on_reset(packet->flow, packet->sequence);
 }
 
 void soak_world::check_reset(const endpoint& sender, const flow_ends& flow)
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -194,6 +194,7 @@
 void entry_flow_core::on_message(
     time_point now, instance_id sender, const flow_message& message)
 {
+    this->contact.on_heard(now);
     if (const auto* report = std::get_if<companion_report>(&message))
     {
         this->on_report(now, sender, *report);
@@ -218,6 +219,7 @@
     this->expire_openings(now);
     this->expire_look_ups(now);
     this->greet_due(now);
+    this->watch_contact(now);
     if (now >= this->next_sweep)
     {
         this->next_sweep = now + sweep_interval;
@@ -267,9 +269,10 @@
     }
 }
 
-bool entry_flow_core::is_ready() const
+bool entry_flow_core::is_ready(time_point now) const
 {
-    return this->policy_in_force->is_known() && this->heard_companion;
+    return this->policy_in_force->is_known() && this->heard_companion &&
+           !this->is_cut_off(now);
 }
 
 void entry_flow_core::emit(
--- a/src/flow/entry_members.cpp
+++ b/src/flow/entry_members.cpp
@@ -21,6 +21,9 @@
 /// A companion that has not been heard for this long is lost: longer than a
 /// restart, which takes half a second, and a greeting.
 constexpr std::chrono::milliseconds lost_after{1'500};
+/// Without any companion's answer for this long an entry is cut off. Several
+/// round trips, and longer than the pause between greetings in a small fleet.
+constexpr std::chrono::milliseconds contact_limit{400};
 /// Greetings without an answer before that, in a large fleet.
 constexpr int lost_greetings = 5;
 
@@ -29,11 +32,37 @@
 bool entry_flow_core::is_lost(
     time_point now, const directory_member& member) const
 {
-    const time_point since = std::max(member.heard, member.known_since);
+    const time_point since = std::max(
+        {member.heard, member.known_since, this->contact.resumed_at()});
     const duration limit = std::max(
         duration(lost_after), this->greeting_interval() * lost_greetings);
     // An entry that hears nobody is cut off itself and tells nothing.
-    return now - since > limit && now - this->last_heard <= limit;
+    const bool hears_others =
+        now - this->contact.last_heard() <= limit && !this->is_cut_off(now);
+    return now - since > limit && hears_others;
+}
+
+bool entry_flow_core::is_cut_off(time_point now) const
+{
+    return this->contact.is_lost(
+        now, std::max(duration(contact_limit), this->greeting_interval()));
+}
+
+void entry_flow_core::watch_contact(time_point now)
+{
+    const bool cut_off = this->is_cut_off(now);
+    if (cut_off == this->was_cut_off)
+    {
+        return;
+    }
+    this->was_cut_off = cut_off;
+    this->emit(
+        now,
+        cut_off ? flow_event_kind::companions_lost
+                : flow_event_kind::companions_found,
+        {}, {}, cut_off ? result_code::not_run_no_upstream : result_code::done,
+        static_cast<std::uint32_t>(this->directory.size()), 0,
+        now - this->contact.last_heard());
 }
 
 duration entry_flow_core::greeting_interval() const
@@ -47,7 +76,6 @@
 {
     const directory_member* known = this->directory.find(sender);
     const bool was_silent = known != nullptr && known->is_silent;
-    this->last_heard = now;
     this->known_entries = message.entry_count;
     const bool is_new = this->directory.on_report(now, sender, message);
     this->heard_companion = true;
@@ -84,6 +112,7 @@
 void entry_flow_core::greet(time_point now, directory_member& member)
 {
     member.greeted = now;
+    this->contact.on_asked(now);
     this->output.send(
         member.record.id,
         entry_hello{
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -81,7 +81,7 @@
 
 bool entry_node::is_ready() const
 {
-    return !this->stopping && this->core.is_ready();
+    return !this->stopping && this->core.is_ready(node_now());
 }
 
 void entry_node::stop()
--- a/standins/flow/scenario.cpp
+++ b/standins/flow/scenario.cpp
@@ -39,6 +39,11 @@
          {
              fleet.freeze_entry(step.index, step.lasts);
          }},
+        {"cut_entry",
+         [](auto& fleet, const auto& step)
+         {
+             fleet.cut_entry(step.index, step.lasts);
+         }},
         {"kill_companion",
          [](auto& fleet, const auto& step)
          {
--- a/standins/flow/virtual_callers.hpp
+++ b/standins/flow/virtual_callers.hpp
@@ -66,7 +66,12 @@
     void on_packet(const virtual_packet& packet);
 
     /// A reset of the system's own.
-    void on_reset(const flow_ends& flow);
+    void on_reset(const flow_ends& flow, std::uint32_t sequence);
+
+    /// True if a reset with this sequence number ends the flow: on an open one
+    /// it must be near to what the caller has acknowledged.
+    [[nodiscard]] bool
+    takes_reset(const flow_ends& flow, std::uint32_t sequence) const;
 
     /// The flow of an open connection, for checks.
     [[nodiscard]] bool is_open(const flow_ends& flow) const;
--- a/standins/flow/virtual_fleet_faults.cpp
+++ b/standins/flow/virtual_fleet_faults.cpp
@@ -159,6 +159,12 @@
     this->companions[index]->cut_until = this->queue.now() + time;
 }
 
+void virtual_flow_fleet::cut_entry(
+    std::size_t index, std::chrono::milliseconds time)
+{
+    this->entries[index]->cut_until = this->queue.now() + time;
+}
+
 void virtual_flow_fleet::stop_store(std::chrono::milliseconds time)
 {
     this->store_up = false;
--- a/standins/flow/virtual_flow_fleet.cpp
+++ b/standins/flow/virtual_flow_fleet.cpp
@@ -302,7 +302,8 @@
     const auto ticks = (this->queue.now().time_since_epoch() / core_tick);
     if (ticks % (probe_interval / core_tick) == 0)
     {
-        const bool ready = process.core->is_ready() && !process.is_stopping &&
+        const bool ready = process.core->is_ready(this->queue.now()) &&
+                           !process.is_stopping &&
                            process.frozen_until <= this->queue.now();
         process.misses = ready ? 0 : process.misses + 1;
         process.in_rotation = process.misses < believed_misses;
@@ -491,6 +492,12 @@
     }
     for (const instance_id id : {from, to})
     {
+        const auto entry = this->entry_ids.find(id);
+        if (entry != this->entry_ids.end() &&
+            this->entries[entry->second]->cut_until > this->queue.now())
+        {
+            return false;
+        }
         const auto companion = this->companion_ids.find(id);
         if (companion != this->companion_ids.end() &&
             this->companions[companion->second]->cut_until > this->queue.now())
@@ -644,7 +651,8 @@
         [this, packet] { this->clients.on_packet(packet); });
 }
 
-void virtual_flow_fleet::deliver_reset(const flow_ends& flow)
+void virtual_flow_fleet::deliver_reset(
+    const flow_ends& flow, std::uint32_t sequence)
 {
     for (const auto& process : this->companions)
     {
@@ -654,7 +662,7 @@
                                   !this->cuts.empty() ||
                                   this->healed_at + contact_time > now;
         if (process->host->holds(flow) && this->clients.is_open(flow) &&
-            !is_disturbed)
+            this->clients.takes_reset(flow, sequence) && !is_disturbed)
         {
             this->checker.on_reset_of_held_flow(
                 now, flow, "host " + std::to_string(process->index));
@@ -662,7 +670,7 @@
     }
     this->queue.after(
         this->shape.caller_delay,
-        [this, flow] { this->clients.on_reset(flow); });
+        [this, flow, sequence] { this->clients.on_reset(flow, sequence); });
 }
 
 // Hosts.
--- a/standins/flow/virtual_flow_fleet.hpp
+++ b/standins/flow/virtual_flow_fleet.hpp
@@ -100,6 +100,8 @@
     void heal_domains();
     /// Nothing passes between a companion and all entries.
     void cut_companion(std::size_t index, std::chrono::milliseconds time);
+    /// Nothing passes between an entry and all companions.
+    void cut_entry(std::size_t index, std::chrono::milliseconds time);
     /// The store answers nobody.
     void stop_store(std::chrono::milliseconds time);
     /// The store does not answer this entry.
@@ -158,7 +160,7 @@
     void beat(std::size_t index, std::uint64_t life);
     void route_to_entry(const virtual_packet& packet);
     void deliver_to_caller(const virtual_packet& packet);
-    void deliver_reset(const flow_ends& flow);
+    void deliver_reset(const flow_ends& flow, std::uint32_t sequence);
     void send_control(
         std::uint32_t from_domain,
         instance_id from,
--- a/standins/flow/virtual_processes.hpp
+++ b/standins/flow/virtual_processes.hpp
@@ -27,9 +27,9 @@
         this->fleet->send_packet_to_companion(this->index, companion, packet);
     }
 
-    void reset_caller(const flow_ends& flow, std::uint32_t) override
+    void reset_caller(const flow_ends& flow, std::uint32_t sequence) override
     {
-        this->fleet->deliver_reset(flow);
+        this->fleet->deliver_reset(flow, sequence);
     }
 
     void send(instance_id to, const flow_message& message) override
@@ -51,6 +51,7 @@
     std::unique_ptr<entry_flow_core> core;
     std::uint64_t life = 0;
     time_point frozen_until;
+    time_point cut_until;
     bool in_rotation = true;
     bool is_stopping = false;
     bool is_turned_away = false;
@@ -77,9 +78,9 @@
         this->fleet->deliver_to_caller(decode(packet));
     }
 
-    void reset_caller(const flow_ends& flow, std::uint32_t) override
+    void reset_caller(const flow_ends& flow, std::uint32_t sequence) override
     {
-        this->fleet->deliver_reset(flow);
+        this->fleet->deliver_reset(flow, sequence);
     }
 
     void send(instance_id to, const flow_message& message) override
--- a/tests/flow/flow_fleet_test.cpp
+++ b/tests/flow/flow_fleet_test.cpp
@@ -125,6 +125,11 @@
      {
          fleet.cut_companion(0, 5'000ms);
      }},
+    {"an_entry_is_cut_from_all_companions", 0.93, 0.99,
+     [](virtual_flow_fleet& fleet)
+     {
+         fleet.cut_entry(0, 5'000ms);
+     }},
     {"an_entry_is_frozen", 0.9, 0.99,
      [](virtual_flow_fleet& fleet)
      {
