--- a/soak/soak_hosts.cpp
+++ b/soak/soak_hosts.cpp
@@ -62,8 +62,11 @@
         {"born", status.incarnation.started.count()}});
     std::string problem;
     const auto answer = co_await send_http(std::move(call), problem);
+    // A late status may be of a former start.
+    const bool is_current = slot.life == life && slot.old_status &&
+                            slot.old_status->incarnation == status.incarnation;
     const bool is_acknowledged =
-        answer && answer->result() == http::status::ok && slot.life == life;
+        answer && answer->result() == http::status::ok && is_current;
     if (is_acknowledged && status.is_draining &&
         slot.leaving_since == time_point{})
     {
