Not ready while a service has no companion in reach; show the path as a demo

Ruled out: the companions of other zones (they were up; member_silent at these entries only). Change: an entry is ready if, for each service, a companion that is neither gone nor withdrawn is in reach; if there is none at all, readiness does not depend on it. Tests failed first without the condition (2 of 4 cases). The upstream's only answer met its companion's restart of 53 ms, and the stand-in did not send it again as real upstreams do; it now repeats an answer when the request comes again. That this was the cause is read from the times of both logs, not replayed.

--- a/include/masticslip/flow/companion_directory.hpp
+++ b/include/masticslip/flow/companion_directory.hpp
@@ -76,6 +76,11 @@
         return this->members;
     }
 
+    [[nodiscard]] const std::map<instance_id, directory_member>& all() const
+    {
+        return this->members;
+    }
+
     [[nodiscard]] std::size_t size() const
     {
         return this->members.size();
--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -104,7 +104,8 @@
         return this->earliest_deadline;
     }
 
-    /// True if the policy is known and companions answer.
+    /// True if the policy is known, companions answer, and each service that
+    /// somebody may serve has a companion in reach.
     [[nodiscard]] bool is_ready(time_point now) const;
 
     [[nodiscard]] const policy& current_policy() const
@@ -224,6 +225,8 @@
     [[nodiscard]] duration greeting_interval() const;
     /// True if no companion answers.
     [[nodiscard]] bool is_cut_off(time_point now) const;
+    /// True if no service has all its usable companions out of reach.
+    [[nodiscard]] bool reaches_all_services() const;
     /// Tells when contact with the companions is lost and found.
     void watch_contact(time_point now);
     /// Compares a companion's policy with the one in force.
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -272,7 +272,7 @@
 bool entry_flow_core::is_ready(time_point now) const
 {
     return this->policy_in_force->is_known() && this->heard_companion &&
-           !this->is_cut_off(now);
+           !this->is_cut_off(now) && this->reaches_all_services();
 }
 
 void entry_flow_core::emit(
--- a/src/flow/entry_members.cpp
+++ b/src/flow/entry_members.cpp
@@ -3,6 +3,7 @@
 #include "masticslip/flow/entry_flow_core.hpp"
 
 #include <algorithm>
+#include <map>
 
 namespace masticslip
 {
@@ -48,6 +49,26 @@
         now, std::max(duration(contact_limit), this->greeting_interval()));
 }
 
+bool entry_flow_core::reaches_all_services() const
+{
+    // Whether a usable companion is in reach, by service.
+    std::map<service_id, bool> reached;
+    for (const auto& [id, member] : this->directory.all())
+    {
+        const bool is_usable =
+            !member.has_left && !this->policy_in_force->value().is_withdrawn(
+                                    member.record.failure_domain);
+        if (is_usable)
+        {
+            bool& any = reached[member.service];
+            any = any || !member.is_silent;
+        }
+    }
+    return std::all_of(
+        reached.begin(), reached.end(),
+        [](const auto& item) { return item.second; });
+}
+
 void entry_flow_core::watch_contact(time_point now)
 {
     const bool cut_off = this->is_cut_off(now);
--- a/src/node/flow_node.cpp
+++ b/src/node/flow_node.cpp
@@ -25,6 +25,8 @@
 /// Largest policy document that is taken from a peer.
 constexpr std::size_t max_policy_size = std::size_t{8} * 1024 * 1024;
 constexpr std::chrono::milliseconds policy_timeout{1'000};
+/// Gauges are logged this often, for whoever has no metrics.
+constexpr std::chrono::seconds state_line_interval{10};
 /// Malformed datagrams are logged at most this often.
 constexpr std::chrono::seconds malformed_log_interval{1};
 
@@ -87,7 +89,7 @@
     return true;
 }
 
-std::string flow_node::metrics_text()
+void flow_node::refresh_gauges()
 {
     this->update_gauges(node_now());
     this->telemetry.set_gauge(
@@ -95,9 +97,29 @@
     this->telemetry.set_gauge(
         "policy_revision",
         static_cast<double>(this->shared_policy()->revision()));
+}
+
+std::string flow_node::metrics_text()
+{
+    this->refresh_gauges();
     return this->telemetry.prometheus();
 }
 
+void flow_node::log_state(time_point now)
+{
+    if (now < this->next_state_line)
+    {
+        return;
+    }
+    this->next_state_line = now + state_line_interval;
+    this->refresh_gauges();
+    log_line line(log_level::info, "state");
+    for (const auto& [name, value] : this->telemetry.all_gauges())
+    {
+        line.field(name, static_cast<std::int64_t>(value));
+    }
+}
+
 void flow_node::send_control(instance_id to, const flow_message& message)
 {
     this->control.send(to.address(), encode_flow_message(message));
@@ -162,6 +184,7 @@
             }
             this->armed_for = {};
             this->on_tick(node_now());
+            this->log_state(node_now());
             this->schedule();
         });
 }
--- a/src/node/flow_node.hpp
+++ b/src/node/flow_node.hpp
@@ -93,6 +93,9 @@
     datagram_socket control;
 
 private:
+    void refresh_gauges();
+    /// Writes the gauges as a log line once in a while.
+    void log_state(time_point now);
     void on_control_datagram(const endpoint& sender, byte_view datagram);
     boost::asio::awaitable<void> fetch_policy(instance_id from);
     http_response answer_peer(const http_request& request) const;
@@ -102,6 +105,7 @@
     boost::asio::steady_timer timer;
     time_point armed_for;
     time_point next_tick;
+    time_point next_state_line;
     time_point malformed_logged;
     bool is_fetching = false;
 };
--- a/src/node/flow_telemetry.hpp
+++ b/src/node/flow_telemetry.hpp
@@ -60,6 +60,12 @@
         this->gauges[name] = value;
     }
 
+    /// All gauges by name.
+    [[nodiscard]] const std::map<std::string, double>& all_gauges() const
+    {
+        return this->gauges;
+    }
+
     /// Raises a counter.
     void count(const std::string& name, std::uint64_t by = 1)
     {
--- a/standins/flow/virtual_host.cpp
+++ b/standins/flow/virtual_host.cpp
@@ -109,6 +109,12 @@
         flow.request = packet.request;
         flow.parts.clear();
         flow.running = false;
+        flow.answer.reset();
+    }
+    if (flow.answer)
+    {
+        this->send(*flow.answer);
+        return;
     }
     flow.parts.insert(packet.part);
     if (flow.running || flow.parts.size() < packet.parts)
@@ -166,6 +172,11 @@
     packet.not_run = not_run;
     // A draining upstream closes each flow after its next answer.
     packet.flags.closes = this->is_draining;
+    flow_state& flow = this->flows[item.flow];
+    if (flow.request == item.request)
+    {
+        flow.answer = packet;
+    }
     this->send(packet);
 }
 
--- a/standins/flow/virtual_host.hpp
+++ b/standins/flow/virtual_host.hpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -87,6 +88,8 @@
         std::set<std::uint16_t> parts;
         std::uint64_t request = 0;
         bool running = false;
+        /// Answer to the newest request, for callers that have not got it.
+        std::optional<virtual_packet> answer;
     };
 
     struct job
--- /dev/null
+++ b/standins/flow_demo.cpp
@@ -0,0 +1,91 @@
+// flow_demo: the layer-4 path as real processes on loopback, while a failure
+// domain leaves and returns and processes are replaced.
+
+#include "soak_world.hpp"
+
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+
+#include <unistd.h>
+
+namespace
+{
+
+using namespace masticslip::soak;
+using namespace std::chrono_literals;
+
+constexpr std::chrono::seconds length{12};
+
+void print_results(const soak_world& world)
+{
+    for (const auto& [name, result] : world.callers().results())
+    {
+        std::cout << name << ": asked " << result.asked << ", in time "
+                  << result.in_time << ", late " << result.late << ", failed "
+                  << result.failed << '\n';
+    }
+    for (const auto& flow : world.callers().failed_flows())
+    {
+        std::cout << "failed: " << masticslip::to_string(flow) << '\n';
+    }
+    for (const auto& text : world.checker().violations())
+    {
+        std::cout << "broken promise: " << text << '\n';
+    }
+}
+
+} // namespace
+
+int main(int, char** argv)
+{
+    soak_settings settings;
+    settings.program =
+        (std::filesystem::absolute(argv[0]).parent_path() / "masticslip_node")
+            .string();
+    settings.folder = (std::filesystem::temp_directory_path() /
+                       ("masticslip-demo-" + std::to_string(::getpid())))
+                          .string();
+    std::filesystem::create_directories(settings.folder);
+    std::cout << "starting a store, 3 entries, 8 companions, 8 upstreams\n";
+    soak_world world(settings);
+    std::string reason;
+    if (!world.start(reason))
+    {
+        std::cerr << "flow_demo: " << reason << '\n';
+        return EXIT_FAILURE;
+    }
+    world.start_load(length);
+    const auto step =
+        [&world](std::chrono::milliseconds at, const char* text, auto action)
+    {
+        world.at(
+            at,
+            [&world, text, action]
+            {
+                std::cout << text << std::endl;
+                action(world);
+            });
+    };
+    step(
+        2s, "2 s: failure domain 1 is withdrawn",
+        [](soak_world& item) { item.withdraw(1); });
+    step(
+        4s, "4 s: entry 0 is replaced",
+        [](soak_world& item) { item.stop_process(0); });
+    step(
+        6s, "6 s: a companion is replaced",
+        [](soak_world& item) { item.stop_process(3); });
+    step(
+        8s, "8 s: failure domain 1 is returned",
+        [](soak_world& item) { item.restore(1); });
+    step(
+        10s, "10 s: an upstream leaves and another takes its place",
+        [](soak_world& item) { item.replace_host(2); });
+    world.run(length + 3s);
+    print_results(world);
+    std::cout
+        << "logs in " << settings.folder
+        << "; masticslip story flow ENDS FILE... tells the story of one\n";
+    return world.checker().violations().empty() ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/tests/flow/entry_flow_core_test.cpp
+++ b/tests/flow/entry_flow_core_test.cpp
@@ -362,4 +362,44 @@
     }
 }
 
+/// Readiness of an entry that hears only the companion of its own domain.
+struct reach_case
+{
+    const char* name;
+    std::vector<std::string> withdrawn;
+    const char* other_service;
+    bool is_ready;
+};
+
+std::ostream& operator<<(std::ostream& stream, const reach_case& value)
+{
+    return stream << value.name;
+}
+
+const std::vector<reach_case> reach_cases{
+    {"the_near_one_serves", {}, "meetups", true},
+    {"the_near_one_is_withdrawn", {"kgl-nyr"}, "meetups", false},
+    {"both_are_withdrawn", {"kgl-nyr", "kgl-gas"}, "meetups", true},
+    {"the_other_service_is_out_of_reach", {}, "papers", false}};
+
+BOOST_DATA_TEST_CASE_F(
+    entry_fixture,
+    an_entry_is_ready_if_every_service_is_in_reach,
+    boost::unit_test::data::make(reach_cases),
+    item)
+{
+    core.on_policy(at(0ms), test_policy(7, item.withdrawn));
+    companion_report remote = ready_report(2);
+    remote.failure_domain = "kgl-gas";
+    remote.service = item.other_service;
+    core.on_message(at(0ms), companion(2), remote);
+    for (auto now = 0ms; now <= 4'000ms; now += 250ms)
+    {
+        core.on_message(at(now), companion(1), ready_report(1));
+        core.on_tick(at(now));
+    }
+    core.on_message(at(4'001ms), companion(1), ready_report(1));
+    BOOST_TEST(core.is_ready(at(4'010ms)) == item.is_ready);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
