--- a/standins/flow/virtual_processes.hpp
+++ b/standins/flow/virtual_processes.hpp
@@ -114,4 +114,23 @@
     bool has_left = false;
 };
 
+template <class Process, class Work>
+void virtual_flow_fleet::run_on(Process& process, Work work)
+{
+    if (!process.core)
+    {
+        return;
+    }
+    const time_point now = this->queue.now();
+    if (process.frozen_until > now)
+    {
+        // Whatever comes while it stands still is handled after the thaw.
+        this->queue.after(
+            process.frozen_until - now,
+            [this, &process, work] { this->run_on(process, work); });
+        return;
+    }
+    work(now);
+}
+
 } // namespace masticslip::standin
