--- a/src/flow/flow_placement.cpp
+++ b/src/flow/flow_placement.cpp
@@ -169,6 +169,7 @@
 std::vector<std::string> placement_rule_names()
 {
     std::vector<std::string> result;
+    result.reserve(rules.size());
     for (const auto& item : rules)
     {
         result.emplace_back(item.first);
--- a/tests/flow/explain_failure_test.cpp
+++ b/tests/flow/explain_failure_test.cpp
@@ -134,8 +134,8 @@
 
     // 50 lines in each window of a second, of which a second of the clock sees
     // parts of two; besides those about members, policies and left-out lines.
-    constexpr std::size_t windows = 2 * 50;
-    constexpr std::size_t members = 2 * 14;
+    constexpr std::size_t windows = 2U * 50;
+    constexpr std::size_t members = 2U * 14;
     constexpr std::size_t bound = windows + members;
     BOOST_TEST(busiest_second(fleet) <= bound);
     BOOST_TEST(fleet.log().find("event=lines_left_out") != std::string::npos);
--- a/tests/flow/flow_fleet_test.cpp
+++ b/tests/flow/flow_fleet_test.cpp
@@ -257,7 +257,7 @@
     // Until the status is overdue after 2.5 s, each entry is refused once for
     // each report of 250 ms, and each host sends back a probe every 400 ms
     // after the first few.
-    constexpr std::uint64_t refusals_by_report = 4 * 10;
+    constexpr std::uint64_t refusals_by_report = 4U * 10;
     constexpr std::uint64_t probes = 4 + 2'500 / 400;
     constexpr std::uint64_t bound = 3 * (refusals_by_report + probes);
     BOOST_TEST(fleet.count(flow_event_kind::flow_refused) < bound);
--- a/tests/flow/waiting_order_test.cpp
+++ b/tests/flow/waiting_order_test.cpp
@@ -58,6 +58,7 @@
 {
     const time_point start{std::chrono::hours(1)};
     std::vector<waiting_opening> openings;
+    openings.reserve(item.arrivals.size());
     for (std::size_t i = 0; i < item.arrivals.size(); ++i)
     {
         const arrival& source = item.arrivals[i];
