--- /dev/null
+++ b/standins/upstream_options.hpp
@@ -0,0 +1,73 @@
+#pragma once
+/// Options and figures of the upstream stand-in, and how it writes bytes as
+/// text.
+
+#include "masticslip/core/coap_message.hpp"
+#include "masticslip/core/messages.hpp"
+#include "masticslip/core/types.hpp"
+
+#include <chrono>
+#include <string>
+
+namespace masticslip::standins
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds announce_interval = 300ms;
+constexpr std::chrono::milliseconds collapse_time = 1500ms;
+constexpr std::uint32_t cold_slots = 1;
+/// More requests than this at once, for this many service times on end, make
+/// a cold upstream collapse.
+constexpr std::uint32_t cold_collapse = 3;
+constexpr int collapse_after_services = 10;
+constexpr int cold_slowdown = 3;
+constexpr std::uint32_t document_blocks = 5;
+constexpr std::uint8_t block_exponent = 6;
+
+/// An upload of which blocks are missing.
+struct partial_upload
+{
+    std::uint32_t next_block = 0;
+    std::string content;
+};
+
+/// A caller that observes the board.
+struct board_observer
+{
+    endpoint to;
+    coap_message request;
+};
+
+/// What the flags say.
+struct upstream_options
+{
+    endpoint bind;
+    endpoint control;
+    endpoint companion;
+    std::string service;
+    std::uint32_t slots = 5;
+    std::chrono::milliseconds service_time{};
+    std::chrono::milliseconds cold_time{};
+    std::chrono::milliseconds notify_interval{};
+    std::string log_file;
+};
+
+inline std::string to_text(const bytes& value)
+{
+    return {value.begin(), value.end()};
+}
+
+inline std::string hex(const bytes& value)
+{
+    std::string result;
+    for (const std::uint8_t octet : value)
+    {
+        constexpr const char* digits = "0123456789abcdef";
+        result += digits[octet >> 4U];
+        result += digits[octet & 15U];
+    }
+    return result;
+}
+
+} // namespace masticslip::standins
--- /dev/null
+++ b/tests/flow/companion_load_test.cpp
@@ -0,0 +1,172 @@
+// A companion towards an upstream that bounces, is full or has ended, and
+// towards peers with another policy.
+
+#include "companion_fixture.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace masticslip;
+using namespace masticslip::test;
+
+BOOST_AUTO_TEST_SUITE(companion_flow)
+
+BOOST_FIXTURE_TEST_CASE(
+    openings_pause_while_the_upstream_sends_them_back, companion_fixture)
+{
+    make_ready();
+    core.on_caller_packet(at(1ms), entry, opening_packet(test_flow(1)));
+    core.on_upstream_packet(at(2ms), bounced(opening_packet(test_flow(1))));
+    output.sent.clear();
+
+    core.on_caller_packet(at(3ms), entry, opening_packet(test_flow(2)));
+
+    BOOST_TEST(output.to_upstream == 1U);
+    BOOST_TEST(
+        to_string(refusal()) ==
+        std::string(to_string(result_code::not_run_upstream_refused)));
+    BOOST_TEST(
+        to_string(core.load(at(3ms)).refusal) ==
+        std::string(to_string(result_code::not_run_upstream_refused)));
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    one_opening_probes_an_upstream_that_sent_others_back, companion_fixture)
+{
+    make_ready();
+    core.on_caller_packet(at(1ms), entry, opening_packet(test_flow(1)));
+    core.on_upstream_packet(at(2ms), bounced(opening_packet(test_flow(1))));
+
+    core.on_caller_packet(at(100ms), entry, opening_packet(test_flow(2)));
+    core.on_caller_packet(at(101ms), entry, opening_packet(test_flow(3)));
+    BOOST_TEST(output.to_upstream == 2U);
+
+    core.on_upstream_packet(
+        at(102ms), accepting_packet(test_flow(2), upstream_sequence));
+    core.on_caller_packet(at(103ms), entry, opening_packet(test_flow(4)));
+    core.on_caller_packet(at(103ms), entry, opening_packet(test_flow(5)));
+    BOOST_TEST(output.to_upstream == 4U);
+}
+
+/// A peer's policy against policy 7 in force.
+struct peer_policy_case
+{
+    const char* name;
+    std::uint64_t revision;
+    bool has_same_contents;
+    std::size_t fetches;
+    std::uint64_t revision_after;
+};
+
+std::ostream& operator<<(std::ostream& stream, const peer_policy_case& value)
+{
+    return stream << value.name;
+}
+
+const std::vector<peer_policy_case> peer_policy_cases{
+    {"newer_contents_are_fetched", 9, false, 1, 7},
+    {"the_same_contents_at_a_newer_revision_are_not", 9, true, 0, 9},
+    {"older_contents_are_not", 5, false, 0, 7},
+    {"the_same_contents_at_an_older_revision_are_not", 5, true, 0, 7}};
+
+BOOST_DATA_TEST_CASE_F(
+    companion_fixture,
+    a_hello_is_compared_by_revision_and_contents,
+    boost::unit_test::data::make(peer_policy_cases),
+    item)
+{
+    make_ready();
+    const std::uint64_t digest =
+        item.has_same_contents ? test_policy(7)->digest() : 1;
+
+    core.on_message(at(10ms), entry, entry_hello{item.revision, true, digest});
+
+    BOOST_TEST(output.fetches.size() == item.fetches);
+    BOOST_TEST(core.current_policy().revision() == item.revision_after);
+    BOOST_TEST(core.current_policy().find_route(test_target) != nullptr);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_full_companion_tells_a_refused_entry_of_new_room, companion_fixture)
+{
+    make_ready();
+    constexpr std::uint16_t limit = 20;
+    for (std::uint16_t i = 0; i < limit; ++i)
+    {
+        open(test_flow(i), at(1ms));
+    }
+    core.on_caller_packet(at(2ms), entry, opening_packet(test_flow(99)));
+    BOOST_TEST(
+        to_string(refusal()) ==
+        std::string(to_string(result_code::not_run_overloaded)));
+    output.sent.clear();
+
+    flow_packet answer =
+        data_packet(test_flow(1), upstream_sequence + 1, 1'101);
+    answer.origin = packet_origin::upstream;
+    core.on_upstream_packet(at(3ms), answer);
+    core.on_upstream_packet(at(4ms), answer);
+
+    const auto notices = messages_of<companion_report>(output.sent);
+    BOOST_REQUIRE(notices.size() == 1U);
+    BOOST_TEST((output.sent[0].to == entry));
+    BOOST_TEST((notices[0].load.refusal == result_code::done));
+}
+
+/// Answers about an unknown flow of a companion that has just started.
+struct unknown_flow_case
+{
+    const char* name;
+    /// A status of an upstream that began before the companion comes now.
+    bool has_status;
+    std::chrono::milliseconds asked_at;
+    ownership answer;
+};
+
+std::ostream& operator<<(std::ostream& stream, const unknown_flow_case& value)
+{
+    return stream << value.name;
+}
+
+const std::vector<unknown_flow_case> unknown_flow_cases{
+    {"no_status_yet", false, 1'000ms, ownership::uncertain},
+    {"a_status_that_is_fresh", true, 3'500ms, ownership::uncertain},
+    {"no_status_for_longer_than_an_upstream_pauses", false, 3'500ms,
+     ownership::absent},
+    {"a_status_that_is_overdue", true, 5'500ms, ownership::absent}};
+
+BOOST_DATA_TEST_CASE_F(
+    companion_fixture,
+    an_upstream_without_status_holds_no_unknown_flows,
+    boost::unit_test::data::make(unknown_flow_cases),
+    item)
+{
+    constexpr auto step = 250ms;
+    for (auto now = 0ms; now < item.asked_at; now += step)
+    {
+        core.on_tick(at(now));
+        if (item.has_status && now == 2'000ms)
+        {
+            core.on_status(at(now), ready_status(9));
+        }
+    }
+    core.on_message(at(item.asked_at), entry, owner_query{test_flow(1), 1});
+    const auto answers = messages_of<owner_answer>(output.sent);
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST(
+        static_cast<int>(answers[0].answer) == static_cast<int>(item.answer));
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_companion_that_stood_still_takes_no_upstream_for_ended, companion_fixture)
+{
+    core.on_tick(at(0ms));
+    core.on_status(at(100ms), ready_status(9));
+    core.on_message(at(8'000ms), entry, owner_query{test_flow(1), 1});
+    const auto answers = messages_of<owner_answer>(output.sent);
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST((answers[0].answer == ownership::uncertain));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
