Let companions without upstream leave; judge lost ones by unanswered questions

Ruled out: uncertain companions (mended before); lost datagrams. Change: a companion that stops beside an upstream without status for 2.5 intervals says that it has left and withdraws its key. Five unanswered questions of any kind for 1.5 s make a companion lost. Tests failed first with both taken out.

--- a/include/masticslip/flow/companion_directory.hpp
+++ b/include/masticslip/flow/companion_directory.hpp
@@ -35,6 +35,9 @@
     /// Time of the newest load; zero if none has come.
     time_point heard;
     time_point greeted;
+    /// First question since it was last heard, and how many there were.
+    time_point asked_since;
+    std::uint32_t unanswered_questions = 0;
     /// Flows placed there since the newest report.
     std::uint32_t own_placements = 0;
     /// Opening packets in a row that were not answered in time.
@@ -60,6 +63,12 @@
     bool
     on_report(time_point now, instance_id id, const companion_report& report);
 
+    /// Something was sent to a companion that it answers at once.
+    void on_asked(time_point now, instance_id id);
+
+    /// A companion was heard, whatever it said.
+    void on_heard(instance_id id);
+
     /// A newer load of a known companion.
     void on_load(time_point now, instance_id id, const upstream_load& load);
 
--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -118,6 +118,9 @@
         return this->monitor;
     }
 
+    /// True if the upstream says nothing for so long that it has ended.
+    [[nodiscard]] bool upstream_has_ended(time_point now) const;
+
     [[nodiscard]] std::size_t flow_count() const
     {
         return this->flows.size();
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -118,8 +118,9 @@
             "m", "hosts", "Upstreams of the first service", false, 5, "NUMBER",
             line);
         TCLAP::ValueArg<std::uint32_t> network(
-            "", "network", "Second part of the loopback addresses", false, 77,
-            "NUMBER", line);
+            "", "network",
+            "Second part of the loopback addresses; by default of the process",
+            false, result.settings.network, "NUMBER", line);
         TCLAP::SwitchArg logs(
             "", "keep-logs", "Keep the logs and print the faults", line);
         line.parse(argc, argv);
--- a/soak/soak_world.cpp
+++ b/soak/soak_world.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 
+#include <unistd.h>
+
 namespace masticslip::soak
 {
 
@@ -15,6 +17,14 @@
 using namespace std::chrono_literals;
 using namespace masticslip::standin;
 
+std::uint8_t network_of_process()
+{
+    constexpr int first_network = 10;
+    constexpr int network_count = 240;
+    return static_cast<std::uint8_t>(
+        first_network + ::getpid() % network_count);
+}
+
 soak_world::soak_world(soak_settings values)
     : settings(std::move(values)),
       promises({}, {{meetups_address, "meetups"}, {papers_address, "papers"}}),
--- a/soak/soak_world.hpp
+++ b/soak/soak_world.hpp
@@ -25,6 +25,9 @@
 namespace masticslip::soak
 {
 
+/// A second part of loopback addresses for this process.
+std::uint8_t network_of_process();
+
 /// Size and load of a run.
 struct soak_settings
 {
@@ -32,8 +35,9 @@
     std::string program;
     /// Takes settings files and logs.
     std::string folder;
-    /// Second part of all addresses: 127.network.x.y.
-    std::uint8_t network = 77;
+    /// Second part of all addresses: 127.network.x.y. By default it depends on
+    /// the process, so that runs beside each other do not meet.
+    std::uint8_t network = network_of_process();
     std::uint32_t domains = 3;
     std::uint32_t entries = 3;
     std::uint32_t meetups = 5;
--- a/src/flow/companion_admission.cpp
+++ b/src/flow/companion_admission.cpp
@@ -217,7 +217,9 @@
     result.policy_digest = this->policy_in_force->digest();
     result.entry_count = static_cast<std::uint32_t>(this->entries.size());
     result.is_stopping = this->stopping;
-    result.has_left = this->monitor.has_departed();
+    // A process that stops beside an upstream without status does not return.
+    result.has_left = this->monitor.has_departed() ||
+                      (this->stopping && this->upstream_has_ended(now));
     return result;
 }
 
--- a/src/flow/companion_directory.cpp
+++ b/src/flow/companion_directory.cpp
@@ -58,6 +58,25 @@
     return is_new;
 }
 
+void companion_directory::on_asked(time_point now, instance_id id)
+{
+    if (directory_member* target = this->find(id))
+    {
+        if (target->unanswered_questions++ == 0)
+        {
+            target->asked_since = now;
+        }
+    }
+}
+
+void companion_directory::on_heard(instance_id id)
+{
+    if (directory_member* target = this->find(id))
+    {
+        target->unanswered_questions = 0;
+    }
+}
+
 void companion_directory::on_load(
     time_point now, instance_id id, const upstream_load& load)
 {
--- a/src/flow/companion_flows.cpp
+++ b/src/flow/companion_flows.cpp
@@ -238,16 +238,18 @@
     flow.state = state;
 }
 
-bool companion_flow_core::may_hold_unknown_flows(time_point now) const
+bool companion_flow_core::upstream_has_ended(time_point now) const
 {
-    if (this->monitor.has_seen_whole_life())
-    {
-        return false;
-    }
-    // An upstream without a status for so long has ended, with its flows.
     const time_point heard =
         std::max(this->watching_since, this->monitor.heard_at());
-    return now - heard <= this->monitor.overdue_limit();
+    return this->monitor.has_departed() ||
+           now - heard > this->monitor.overdue_limit();
+}
+
+bool companion_flow_core::may_hold_unknown_flows(time_point now) const
+{
+    return !this->monitor.has_seen_whole_life() &&
+           !this->upstream_has_ended(now);
 }
 
 ownership companion_flow_core::ownership_of(
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -195,6 +195,7 @@
     time_point now, instance_id sender, const flow_message& message)
 {
     this->contact.on_heard(now);
+    this->directory.on_heard(sender);
     if (const auto* report = std::get_if<companion_report>(&message))
     {
         this->on_report(now, sender, *report);
--- a/src/flow/entry_look_ups.cpp
+++ b/src/flow/entry_look_ups.cpp
@@ -114,6 +114,7 @@
     const owner_query query{flow, item.acknowledged};
     for (const instance_id id : item.pending)
     {
+        this->directory.on_asked(now, id);
         this->output.send(id, query);
     }
 }
--- a/src/flow/entry_members.cpp
+++ b/src/flow/entry_members.cpp
@@ -27,6 +27,8 @@
 constexpr std::chrono::milliseconds contact_limit{400};
 /// Greetings without an answer before that, in a large fleet.
 constexpr int lost_greetings = 5;
+/// The same for questions of any kind.
+constexpr std::uint32_t lost_questions = 5;
 
 } // namespace
 
@@ -40,7 +42,12 @@
     // An entry that hears nobody is cut off itself and tells nothing.
     const bool hears_others =
         now - this->contact.last_heard() <= limit && !this->is_cut_off(now);
-    return now - since > limit && hears_others;
+    // Under load questions come more often than greetings.
+    const time_point asked =
+        std::max(member.asked_since, this->contact.resumed_at());
+    const bool is_mute = member.unanswered_questions >= lost_questions &&
+                         now - asked > lost_after;
+    return hears_others && (now - since > limit || is_mute);
 }
 
 bool entry_flow_core::is_cut_off(time_point now) const
@@ -134,6 +141,7 @@
 {
     member.greeted = now;
     this->contact.on_asked(now);
+    this->directory.on_asked(now, member.record.id);
     this->output.send(
         member.record.id,
         entry_hello{
--- a/src/node/companion_node.cpp
+++ b/src/node/companion_node.cpp
@@ -81,7 +81,7 @@
     }
     this->stopping = true;
     this->core.on_stop(node_now());
-    if (this->core.upstream().has_departed())
+    if (this->core.upstream_has_ended(node_now()))
     {
         asio::co_spawn(this->context, this->leave(), asio::detached);
         this->exit_timer.expires_after(leave_limit);
--- a/tests/flow/companion_load_test.cpp
+++ b/tests/flow/companion_load_test.cpp
@@ -169,4 +169,40 @@
     BOOST_TEST((answers[0].answer == ownership::uncertain));
 }
 
+/// The last report of a companion that stops.
+struct stop_case
+{
+    const char* name;
+    std::chrono::milliseconds stopped_at;
+    bool has_left;
+};
+
+std::ostream& operator<<(std::ostream& stream, const stop_case& value)
+{
+    return stream << value.name;
+}
+
+const std::vector<stop_case> stop_cases{
+    {"its_upstream_is_alive", 1'000ms, false},
+    {"its_upstream_has_no_status_any_more", 4'000ms, true}};
+
+BOOST_DATA_TEST_CASE_F(
+    companion_fixture,
+    a_companion_that_stops_says_whether_its_upstream_has_ended,
+    boost::unit_test::data::make(stop_cases),
+    item)
+{
+    make_ready();
+    core.on_message(at(0ms), entry, entry_hello{7, true, 0});
+    for (auto now = 0ms; now < item.stopped_at; now += 250ms)
+    {
+        core.on_tick(at(now));
+    }
+    core.on_stop(at(item.stopped_at));
+    const auto reports = messages_of<companion_report>(output.sent);
+    BOOST_REQUIRE(!reports.empty());
+    BOOST_TEST(reports.back().is_stopping);
+    BOOST_TEST(reports.back().has_left == item.has_left);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/flow/entry_look_ups_test.cpp
+++ b/tests/flow/entry_look_ups_test.cpp
@@ -231,4 +231,43 @@
     BOOST_TEST(output.packets.size() == 2U);
 }
 
+// With 100 companions a greeting interval is 750 ms; a look-up asks all.
+BOOST_FIXTURE_TEST_CASE(
+    a_companion_that_answers_no_question_is_lost_before_five_greetings,
+    entry_fixture)
+{
+    constexpr std::uint16_t count = 100;
+    make_ready(count);
+    const auto hear_the_others = [this](std::chrono::milliseconds now)
+    {
+        for (std::uint16_t i = 2; i <= count; ++i)
+        {
+            core.on_message(at(now), companion(i), ready_report(i));
+        }
+    };
+    for (auto now = 0ms; now <= 2'000ms; now += 100ms)
+    {
+        hear_the_others(now);
+        core.on_tick(at(now));
+        const flow_ends flow =
+            test_flow(static_cast<std::uint16_t>(1'000 + now.count()));
+        core.on_caller_packet(at(now), data_packet(flow, 1'001, 2));
+    }
+    output.sent.clear();
+
+    core.on_caller_packet(at(2'010ms), data_packet(test_flow(1), 1'001, 2));
+    for (std::size_t i = 0; i < output.sent.size(); ++i)
+    {
+        const instance_id asked = output.sent[i].to;
+        if (asked != companion(1))
+        {
+            core.on_message(
+                at(2'012ms), asked,
+                owner_answer{test_flow(1), ownership::absent});
+        }
+    }
+
+    BOOST_TEST(output.resets.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
