--- a/soak/node_process.cpp
+++ b/soak/node_process.cpp
@@ -1,5 +1,7 @@
 #include "node_process.hpp"
 
+#include "platform/platform_texts.hpp"
+
 #include <boost/process.hpp>
 
 #include <csignal>
@@ -37,7 +39,7 @@
 void node_process::start()
 {
     bp::environment variables = boost::this_process::environment();
-    variables["MASTICSLIP_NODE_FILE"] =
+    variables[standin::settings_variable] =
         this->folder + "/" + this->name + ".conf";
     // The log goes on over restarts.
     std::FILE* log = std::fopen(this->log_file().c_str(), "a");
--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -108,7 +108,7 @@
 void soak_world::withdraw(std::uint32_t domain)
 {
     this->withdrawn.insert(domain_name(domain));
-    this->store.write("op/evacuate/" + domain_name(domain), "{}");
+    this->store.write(withdrawal_key(domain_name(domain)), "{}");
     // A harmed store or process delays the news.
     time_point since = std::max(this->queue.now(), this->store_harmed_until);
     for (const auto& slot : this->nodes)
@@ -121,7 +121,7 @@
 void soak_world::restore(std::uint32_t domain)
 {
     this->withdrawn.erase(domain_name(domain));
-    this->store.remove("op/evacuate/" + domain_name(domain));
+    this->store.remove(withdrawal_key(domain_name(domain)));
     this->promises.on_restored(domain_name(domain));
 }
 
--- a/soak/soak_hosts.cpp
+++ b/soak/soak_hosts.cpp
@@ -4,14 +4,12 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/json.hpp>
 
 namespace masticslip::soak
 {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
-namespace json = boost::json;
 using namespace std::chrono_literals;
 using namespace masticslip::standin;
 
@@ -44,24 +42,9 @@
 {
     host_slot& slot = *this->hosts[index];
     const std::uint64_t life = slot.life;
-    const std::uint32_t address = this->nodes[slot.node]->address;
-    http_call call;
-    call.server = {address, status_port};
-    call.method = http::verb::put;
-    call.target = "/api/instances/" + status.incarnation.id;
-    call.timeout = status_limit;
-    call.body = json::serialize(json::object{
-        {"service", status.service},
-        {"address", to_string(endpoint{address, upstream_port})},
-        {"zone", status.failure_domain},
-        {"version", "v1"},
-        {"concurrency", status.concurrency},
-        {"state", status.is_draining ? "draining" : "ready"},
-        {"warmup_left_ms", status.cold_for.count()},
-        {"sequence", status.sequence},
-        {"born", status.incarnation.started.count()}});
     std::string problem;
-    const auto answer = co_await send_http(std::move(call), problem);
+    const auto answer = co_await send_http(
+        status_call(this->nodes[slot.node]->address, status), problem);
     // A late status may be of a former start.
     const bool is_current = slot.life == life && slot.old_status &&
                             slot.old_status->incarnation == status.incarnation;
@@ -74,17 +57,13 @@
     }
 }
 
-asio::awaitable<void> soak_world::send_departure(
-    std::size_t index, std::string id, std::chrono::milliseconds started)
+asio::awaitable<void>
+soak_world::send_departure(std::size_t index, upstream_incarnation incarnation)
 {
-    http_call call;
-    call.server = {this->nodes[this->hosts[index]->node]->address, status_port};
-    call.method = http::verb::delete_;
-    call.target = "/api/instances/" + id;
-    call.body = json::serialize(json::object{{"born", started.count()}});
-    call.timeout = status_limit;
+    const std::uint32_t address =
+        this->nodes[this->hosts[index]->node]->address;
     std::string problem;
-    co_await send_http(std::move(call), problem);
+    co_await send_http(departure_call(address, incarnation), problem);
 }
 
 void soak_world::crash_host(
@@ -122,9 +101,7 @@
             }
             const auto incarnation = leaving.old_status->incarnation;
             asio::co_spawn(
-                this->context,
-                this->send_departure(
-                    index, incarnation.id, incarnation.started),
+                this->context, this->send_departure(index, incarnation),
                 asio::detached);
             this->crash_host(index, false, 1'000ms);
         });
--- a/soak/soak_network.cpp
+++ b/soak/soak_network.cpp
@@ -30,12 +30,8 @@
 asio::awaitable<void> soak_world::probe(std::size_t index)
 {
     node_slot& slot = *this->nodes[index];
-    http_call call;
-    call.server = {slot.address, ready_port};
-    call.target = "/api/ready";
-    call.timeout = probe_limit;
     std::string problem;
-    const auto answer = co_await send_http(std::move(call), problem);
+    const auto answer = co_await send_http(ready_call(slot.address), problem);
     const bool is_ready = answer && answer->result() == http::status::ok;
     slot.misses = is_ready ? 0 : slot.misses + 1;
     slot.in_rotation =
@@ -61,7 +57,7 @@
     const auto chosen =
         rank_candidates(hash_flow_ends(packet.flow), members, 1);
     const auto address = static_cast<std::uint32_t>(chosen.front().value);
-    this->fabric.send({address, packet_port}, to_datagram(packet));
+    this->fabric.send({address, ports.packets}, to_datagram(packet));
 }
 
 void soak_world::on_host_datagram(std::size_t index, byte_view datagram)
--- a/soak/soak_slots.hpp
+++ b/soak/soak_slots.hpp
@@ -1,6 +1,7 @@
 #pragma once
 /// What the parts of soak_world share: its processes, upstreams and figures.
 
+#include "platform/platform_texts.hpp"
 #include "soak_world.hpp"
 
 #include <optional>
@@ -16,25 +17,19 @@
 constexpr std::uint8_t caller_group = 100;
 
 constexpr std::uint16_t store_port = 8'169;
-constexpr std::uint16_t packet_port = 8'172;
-constexpr std::uint16_t ready_port = 8'167;
-constexpr std::uint16_t status_port = 8'166;
-constexpr std::uint16_t upstream_port = 8'165;
-constexpr std::uint16_t outbound_port = 8'162;
+constexpr standin::machine_ports ports;
 
 constexpr endpoint meetups_address{0xC6120001, 443};
 constexpr endpoint papers_address{0xC6120002, 443};
 
 constexpr std::chrono::milliseconds status_interval{1'000};
-constexpr std::chrono::milliseconds status_limit{1'000};
 constexpr std::chrono::milliseconds probe_interval{500};
-constexpr std::chrono::milliseconds probe_limit{400};
 /// Probes in a row without success before an entry leaves the rotation.
 constexpr int believed_misses = 2;
 constexpr std::chrono::milliseconds supervise_interval{50};
 constexpr std::chrono::milliseconds restart_delay{300};
 /// A machine counts as disturbed for this long after a fault
-/// (`contact_ms` of the platform's bounds).
+/// (from the platform's bounds).
 constexpr std::chrono::milliseconds contact_time{4'000};
 /// A leaving upstream goes on for this long after its acknowledgement.
 constexpr std::chrono::milliseconds drain_time{3'500};
--- a/soak/soak_world.cpp
+++ b/soak/soak_world.cpp
@@ -4,8 +4,6 @@
 
 #include "platform/packet_bridge.hpp"
 
-#include <boost/json.hpp>
-
 #include <algorithm>
 
 #include <unistd.h>
@@ -13,7 +11,6 @@
 namespace masticslip::soak
 {
 
-namespace json = boost::json;
 using namespace std::chrono_literals;
 using namespace masticslip::standin;
 
@@ -48,42 +45,31 @@
            (std::uint32_t{group} << 8U) | number;
 }
 
-soak_world::node_slot& soak_world::create_node(
-    const std::string& role,
-    const std::string& name,
-    std::uint32_t address,
-    std::uint32_t domain,
-    const std::string& more_settings)
+soak_world::node_slot&
+soak_world::create_node(const std::string& role, machine_settings machine)
 {
     auto slot = std::make_unique<node_slot>();
     const auto number = static_cast<std::uint32_t>(this->nodes.size() + 1);
-    const endpoint proxy{this->address_of(proxy_group, number), store_port};
+    machine.store = {this->address_of(proxy_group, number), store_port};
     slot->proxy = std::make_unique<fault_proxy>(
-        this->context, proxy, this->store.local());
-    slot->address = address;
-    slot->is_entry = role == "entry";
-    const std::string text = "node_name=" + name +
-                             "\nzone=" + domain_name(domain) +
-                             "\nbind_addrs.datagram_addr=" +
-                             to_string(endpoint{address, packet_port}) +
-                             "\nbind_addrs.readiness_addr=" +
-                             to_string(endpoint{address, ready_port}) +
-                             "\nport_range=7720,7735\nlimits.memory_mb=64\n" +
-                             "platform.address=" + to_string(proxy) +
-                             "\nplatform.ttl_min_ms=1000\n" + more_settings;
+        this->context, machine.store, this->store.local());
+    slot->address = machine.address;
+    slot->is_entry = !machine.service;
     slot->process = std::make_unique<node_process>(
-        this->settings.program, role, name, this->settings.folder, text);
-    this->node_by_address[address] = this->nodes.size();
+        this->settings.program, role, machine.name, this->settings.folder,
+        settings_text(machine));
+    this->node_by_address[machine.address] = this->nodes.size();
     this->nodes.push_back(std::move(slot));
     return *this->nodes.back();
 }
 
 void soak_world::create_entry(std::uint32_t number)
 {
-    this->create_node(
-        "entry", "entry-" + std::to_string(number),
-        this->address_of(entry_group, number + 1),
-        number % this->settings.domains, "");
+    machine_settings machine;
+    machine.name = "entry-" + std::to_string(number);
+    machine.failure_domain = domain_name(number % this->settings.domains);
+    machine.address = this->address_of(entry_group, number + 1);
+    this->create_node("entry", std::move(machine));
 }
 
 void soak_world::create_companion(
@@ -94,16 +80,13 @@
     slot->node = this->nodes.size();
     slot->service = service;
     slot->domain = number % this->settings.domains;
-    const std::string more =
-        "app=" + to_string(endpoint{address, upstream_port}) +
-        "\nservice=" + service +
-        "\nheartbeat_ms=" + std::to_string(status_interval.count()) +
-        "\nbind_addrs.outbound=" + to_string(endpoint{address, outbound_port}) +
-        "\nbind_addrs.control_plane=" +
-        to_string(endpoint{address, status_port}) + "\n";
-    this->create_node(
-        "companion", "side-" + std::to_string(number), address, slot->domain,
-        more);
+    machine_settings machine;
+    machine.name = "side-" + std::to_string(number);
+    machine.failure_domain = domain_name(slot->domain);
+    machine.address = address;
+    machine.service = service;
+    machine.status_interval = status_interval;
+    this->create_node("companion", std::move(machine));
     host_shape shape;
     shape.service = service;
     shape.failure_domain = domain_name(slot->domain);
@@ -112,40 +95,19 @@
     slot->host = std::make_unique<virtual_host>(
         this->queue, shape, "host-" + std::to_string(number),
         [&socket, address](const virtual_packet& packet) {
-            socket.send({address, outbound_port}, to_datagram(packet));
+            socket.send({address, ports.outbound}, to_datagram(packet));
         });
     this->hosts.push_back(std::move(slot));
 }
 
 void soak_world::write_configuration()
 {
-    json::array routes;
-    const auto add = [&routes](
-                         const char* name, const char* address,
-                         const char* kind, int time_limit, int target)
-    {
-        routes.push_back(
-            {{"name", name},
-             {"hostname", address},
-             {"prefix", "/443/"},
-             {"type", kind},
-             {"timeout_ms", time_limit},
-             {"target_latency_ms", target},
-             {"priority", 1},
-             {"service", name}});
-    };
-    const int time_limit = 1'000 + static_cast<int>(this->version % 7);
-    add("meetups", "198.18.0.1", "safe", time_limit, 150);
-    add("papers", "198.18.0.2", "upload", 3'000, 500);
-    const json::object document{
-        {"version", ++this->version},
-        {"routes", routes},
-        {"services",
-         json::array{
-             json::object{{"name", "meetups"}},
-             json::object{{"name", "papers"}}}},
-        {"limits", json::object{{"idle_timeout_ms", 12'000}}}};
-    this->store.write("op/config", json::serialize(document));
+    // Each version has another time limit than the one before.
+    constexpr std::uint64_t limits = 7;
+    const auto time_limit = 1s + std::chrono::milliseconds(
+                                     static_cast<int>(this->version % limits));
+    this->store.write(
+        configuration_key(), configuration_text(++this->version, time_limit));
 }
 
 bool soak_world::start(std::string& reason)
@@ -154,7 +116,7 @@
             {this->address_of(store_group, 1), store_port}, reason) ||
         !this->fabric.open({this->address_of(caller_group, 2), 0}, reason) ||
         !this->caller_side.open(
-            {this->address_of(caller_group, 1), packet_port}, reason))
+            {this->address_of(caller_group, 1), ports.packets}, reason))
     {
         return false;
     }
@@ -185,7 +147,7 @@
     {
         const std::uint32_t address =
             this->nodes[this->hosts[i]->node]->address;
-        if (!this->hosts[i]->packets->open({address, upstream_port}, reason))
+        if (!this->hosts[i]->packets->open({address, ports.upstream}, reason))
         {
             return false;
         }
--- a/soak/soak_world.hpp
+++ b/soak/soak_world.hpp
@@ -16,6 +16,7 @@
 #include "flow/virtual_host.hpp"
 #include "net/datagram_socket.hpp"
 #include "node_process.hpp"
+#include "platform/platform_texts.hpp"
 #include "platform/store_server.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -131,12 +132,8 @@
 
     void create_entry(std::uint32_t number);
     void create_companion(const std::string& service, std::uint32_t number);
-    node_slot& create_node(
-        const std::string& role,
-        const std::string& name,
-        std::uint32_t address,
-        std::uint32_t domain,
-        const std::string& more_settings);
+    node_slot&
+    create_node(const std::string& role, standin::machine_settings machine);
     [[nodiscard]] std::uint32_t
     address_of(std::uint8_t group, std::uint32_t number) const;
     void write_configuration();
@@ -147,8 +144,8 @@
     void beat(std::size_t index, std::uint64_t life);
     boost::asio::awaitable<void>
     send_status(std::size_t index, upstream_status status);
-    boost::asio::awaitable<void> send_departure(
-        std::size_t index, std::string id, std::chrono::milliseconds started);
+    boost::asio::awaitable<void>
+    send_departure(std::size_t index, upstream_incarnation incarnation);
     void start_host(std::size_t index, bool is_cold);
     void route(const standin::virtual_packet& packet);
     void on_host_datagram(std::size_t index, byte_view datagram);
