Check every run in the soak, also those that begin from a queue

A request that waits in the upstream's queue begins later, from a timer, and was not counted, so running something unrepeatable twice could go unseen. Ruled out: the at-most-once checks elsewhere (they count in the upstream). Change: virtual_host tells each run as it begins (on_run); the comparison of counts before and after a packet is gone. The check is stricter. It was found by reading; no run was made in which the old check missed a repeat.

--- a/soak/soak_network.cpp
+++ b/soak/soak_network.cpp
@@ -79,26 +79,15 @@
              &slot.host->openings},
             packet->flow);
     }
-    const auto before = slot.host->runs.size();
-    const auto known = slot.host->runs.find(packet->request);
-    const int count = known == slot.host->runs.end() ? 0 : known->second;
     slot.host->on_packet(*packet, this->clients.work_of(packet->request));
-    const auto after = slot.host->runs.find(packet->request);
-    const bool has_run =
-        slot.host->runs.size() != before ||
-        (after != slot.host->runs.end() && after->second != count);
-    if (has_run)
-    {
-        this->check_runs(*packet);
-    }
 }
 
-void soak_world::check_runs(const virtual_packet& packet)
+void soak_world::check_run(std::uint64_t request)
 {
-    const int count = ++this->runs[packet.request];
-    if (count > 1 && !this->clients.is_repeatable(packet.request))
+    const int count = ++this->runs[request];
+    if (count > 1 && !this->clients.is_repeatable(request))
     {
-        this->promises.on_repeated_run(this->queue.now(), packet.request);
+        this->promises.on_repeated_run(this->queue.now(), request);
     }
 }
 
--- a/soak/soak_world.cpp
+++ b/soak/soak_world.cpp
@@ -97,6 +97,10 @@
         [&socket, address](const virtual_packet& packet) {
             socket.send({address, ports.outbound}, to_datagram(packet));
         });
+    slot->host->on_run = [this](std::uint64_t request)
+    {
+        this->check_run(request);
+    };
     this->hosts.push_back(std::move(slot));
 }
 
--- a/soak/soak_world.hpp
+++ b/soak/soak_world.hpp
@@ -151,7 +151,7 @@
     void on_host_datagram(std::size_t index, byte_view datagram);
     void on_caller_datagram(const endpoint& sender, byte_view datagram);
     void check_reset(const endpoint& sender, const flow_ends& flow);
-    void check_runs(const standin::virtual_packet& packet);
+    void check_run(std::uint64_t request);
     void disturb(std::size_t node, duration time);
     /// Bounds of withdrawn domains begin anew after an unplanned fault.
     void postpone_withdrawals(duration time);
--- a/standins/flow/virtual_host.cpp
+++ b/standins/flow/virtual_host.cpp
@@ -140,6 +140,10 @@
         this->waiting.pop_front();
         ++this->busy;
         ++this->runs[item.request];
+        if (this->on_run)
+        {
+            this->on_run(item.request);
+        }
         const double factor = this->is_cold() ? this->shape.cold_factor : 1.0;
         const auto work = std::chrono::duration_cast<duration>(
             std::chrono::duration<double, duration::period>(item.work) *
--- a/standins/flow/virtual_host.hpp
+++ b/standins/flow/virtual_host.hpp
@@ -79,6 +79,8 @@
     std::vector<time_point> openings;
     /// Requests that ran, by id: how often.
     std::map<std::uint64_t, int> runs;
+    /// Called as each run begins, if set.
+    std::function<void(std::uint64_t request)> on_run;
 
 private:
     struct flow_state
