End a call when it makes no progress, not after a second in all

Change: http_call::timeout is the longest time without progress; a limit of 20 s more bounds the whole exchange. A silent peer is noticed as soon as before.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -9,6 +9,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+
 namespace masticslip
 {
 
@@ -55,9 +57,14 @@
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_body_size);
-    if (!error)
+    const auto latest =
+        std::chrono::steady_clock::now() + call.timeout + call.transfer_limit;
+    while (!error && !parser.is_done())
     {
-        co_await http::async_read(stream, buffer, parser, with_error(error));
+        co_await http::async_read_some(
+            stream, buffer, parser, with_error(error));
+        stream.expires_at(
+            std::min(std::chrono::steady_clock::now() + call.timeout, latest));
     }
     if (error)
     {
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -30,8 +30,12 @@
     boost::beast::http::verb method = boost::beast::http::verb::get;
     std::string target;
     std::string body;
-    /// Time limit of the whole exchange, including the connection set-up.
+    /// Longest time without progress: for the connection set-up with the
+    /// request, and then until each next part of the response. A large response
+    /// on a slow link takes longer in all.
     std::chrono::milliseconds timeout = std::chrono::seconds(2);
+    /// Time limit of the whole exchange, beyond `timeout`.
+    std::chrono::milliseconds transfer_limit = std::chrono::seconds(20);
 };
 
 /// Sends a request and returns the response, or nullopt and a reason on
