--- a/src/node/flow_node.cpp
+++ b/src/node/flow_node.cpp
@@ -255,8 +255,7 @@
     this->apply_policy(node_now(), std::make_shared<policy>(std::move(*value)));
 }
 
-http_response
-flow_node::handle_policy_request(const http_request& request) const
+http_response flow_node::handle_policy_request(const http_request& request)
 {
     const auto current = this->shared_policy();
     if (request.target() != policy_path || !current->is_known())
@@ -264,8 +263,15 @@
         return make_response(
             request, http::status::not_found, "no such page\n", "text/plain");
     }
+    if (this->served_mark != current->mark() ||
+        !current->carried().domains.empty())
+    {
+        this->served_mark = current->mark();
+        this->served_document = serialize_policy(*current, node_now());
+    }
     return make_response(
-        request, http::status::ok, serialize_policy(*current, node_now()));
+        request, http::status::ok, this->served_document,
+        "application/octet-stream");
 }
 
 } // namespace masticslip
--- a/src/node/flow_node.hpp
+++ b/src/node/flow_node.hpp
@@ -101,7 +101,7 @@
     void observe_store_era();
     void on_control_datagram(const endpoint& sender, byte_view datagram);
     boost::asio::awaitable<void> fetch_policy(instance_id from);
-    http_response handle_policy_request(const http_request& request) const;
+    http_response handle_policy_request(const http_request& request);
 
     http_server policy_server;
     http_server metrics_server;
@@ -112,6 +112,10 @@
     time_point last_malformed_log;
     bool is_fetching_policy = false;
     std::optional<std::uint64_t> store_era;
+    /// Mark of the policy that was served last, and its document: many peers
+    /// fetch the same one.
+    policy_mark served_mark;
+    std::string served_document;
 };
 
 } // namespace masticslip
--- a/src/node/policy_document.cpp
+++ b/src/node/policy_document.cpp
@@ -1,6 +1,7 @@
 #include "policy_document.hpp"
 
 #include "masticslip/flow/policy_succession.hpp"
+#include "net/compression.hpp"
 
 #include <boost/json.hpp>
 
@@ -14,7 +15,7 @@
 namespace
 {
 
-/// Largest policy document accepted from a peer.
+/// Largest policy document accepted from a peer, uncompressed.
 constexpr std::size_t max_policy_size = std::size_t{8} * 1024 * 1024;
 
 /// Returns an unsigned member, or nullopt if it is missing or of another type.
@@ -77,13 +78,20 @@
         {"configuration_era", value.mark().configuration_era},
         {"carried", std::move(domains)},
         {"carried_ms", std::max<std::int64_t>(remaining.count(), 0)}};
-    return json::serialize(head) + "\n" +
-           serialize_configuration(value.value());
+    return compress(
+        json::serialize(head) + "\n" + serialize_configuration(value.value()));
 }
 
 std::optional<policy>
-parse_policy(std::string_view text, time_point now, failure_reason& reason)
+parse_policy(std::string_view data, time_point now, failure_reason& reason)
 {
+    reason.code = result_code::config_invalid;
+    const auto document = decompress(data, max_policy_size, reason.text);
+    if (!document)
+    {
+        return std::nullopt;
+    }
+    const std::string_view text = *document;
     const auto line_end = text.find('\n');
     json::error_code error;
     const json::value root = json::parse(text.substr(0, line_end), error);
--- a/src/node/policy_document.hpp
+++ b/src/node/policy_document.hpp
@@ -2,7 +2,8 @@
 /// Document with which peers exchange policies.
 ///
 /// The first line is a JSON object with the policy's position and its carried
-/// withdrawals, the rest is the configuration.
+/// withdrawals, the rest is the configuration. The document is compressed:
+/// after a change many peers fetch it at once, also over slow links.
 
 #include "masticslip/core/failure_reason.hpp"
 #include "masticslip/flow/policy.hpp"
@@ -20,6 +21,6 @@
 /// Returns the policy, or nullopt and a reason. Times are relative to `now`.
 /// Thread-safe.
 std::optional<policy>
-parse_policy(std::string_view text, time_point now, failure_reason& reason);
+parse_policy(std::string_view data, time_point now, failure_reason& reason);
 
 } // namespace masticslip
--- a/src/node/policy_document_test.cpp
+++ b/src/node/policy_document_test.cpp
@@ -3,6 +3,8 @@
 
 #include "node/policy_document.hpp"
 
+#include "net/compression.hpp"
+
 #include "recording_outputs.hpp"
 
 #include <boost/test/data/monomorphic.hpp>
@@ -78,14 +80,18 @@
 
 BOOST_AUTO_TEST_CASE(a_carried_withdrawal_is_never_extended_beyond_its_limit)
 {
-    std::string text = serialize_policy(carried_policy(), at(0s));
+    std::string inflate_error;
+    std::string text = decompress(
+                           serialize_policy(carried_policy(), at(0s)),
+                           1'000'000, inflate_error)
+                           .value_or("");
     const std::string remaining = "\"carried_ms\":8000";
     const auto found = text.find(remaining);
     BOOST_REQUIRE(found != std::string::npos);
     text.replace(found, remaining.size(), "\"carried_ms\":9000000");
     failure_reason reason;
 
-    const auto parsed = parse_policy(text, at(0s), reason);
+    const auto parsed = parse_policy(compress(text), at(0s), reason);
 
     BOOST_REQUIRE_MESSAGE(parsed.has_value(), reason.text);
     BOOST_TEST((parsed->carried().until == at(10s)));
@@ -97,9 +103,17 @@
     item)
 {
     failure_reason reason;
-    BOOST_TEST(!parse_policy(item.text, at(0s), reason).has_value());
+    BOOST_TEST(!parse_policy(compress(item.text), at(0s), reason).has_value());
     BOOST_TEST(!reason.text.empty());
     BOOST_TEST((reason.code != result_code::done));
 }
 
+BOOST_AUTO_TEST_CASE(an_uncompressed_document_is_refused_with_a_reason)
+{
+    failure_reason reason;
+    BOOST_TEST(!parse_policy("{}\n{}", at(0s), reason).has_value());
+    BOOST_TEST(!reason.text.empty());
+    BOOST_TEST((reason.code == result_code::config_invalid));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
