Put late answers of most companions down to the own link

Change: if most present companions leave requests unanswered for 400 ms, no companion counts as lost until 1.5 s after that.

--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -273,9 +273,13 @@
         time_point now, instance_id sender, const companion_report& message);
     void send_hello(time_point now, directory_member& member);
     void send_hello_to_all(time_point now);
-    /// Sends hellos that are due, marks companions that do not answer and
-    /// compares their number with the others'.
+    /// Sends hellos that are due and marks companions that do not answer.
     void send_due_hellos(time_point now);
+    /// Load pattern: the entry's own link or processor is busy, so that the
+    /// answers of most companions are late, and arrive one after the other.
+    /// No companion counts as lost then, nor until the others' answers would
+    /// have come: an upstream that only seems silent still holds its flows.
+    void check_own_link(time_point now);
     void expire_openings(time_point now);
     void expire_lookups(time_point now);
     void expire_flows(time_point now);
@@ -306,8 +310,8 @@
     time_point next_sweep;
     peer_contact contact;
     bool was_isolated = false;
-    /// More than half of the companions are silent.
-    bool most_are_silent = false;
+    /// Until then late answers are put down to the entry's own link.
+    time_point link_suspect_until;
     std::uint32_t reported_entry_count = 0;
     bool has_received_report = false;
 };
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -227,6 +227,7 @@
     }
     this->expire_openings(now);
     this->expire_lookups(now);
+    this->check_own_link(now);
     this->send_due_hellos(now);
     this->report_contact_change(now);
     if (now >= this->next_sweep)
--- a/src/flow/entry_members.cpp
+++ b/src/flow/entry_members.cpp
@@ -54,10 +54,7 @@
     const bool is_unresponsive =
         member.unanswered_requests >= lost_after_requests &&
         now - awaiting_since > lost_after;
-    // If most companions seem silent, it is rather the entry's own link or
-    // processor that is busy. An upstream whose machine only reports late still
-    // holds its flows.
-    return has_peer_contact && !this->most_are_silent &&
+    return has_peer_contact && now >= this->link_suspect_until &&
            (now - since > limit || is_unresponsive);
 }
 
@@ -178,15 +175,24 @@
             this->send_hello(now, member);
         }
     }
+}
+
+void entry_flow_core::check_own_link(time_point now)
+{
     std::size_t present = 0;
-    std::size_t silent = 0;
+    std::size_t late = 0;
     for (const auto& [id, member] : this->directory.all())
     {
         const bool counts = counts_as_present(now, member);
+        const bool is_late = member.unanswered_requests != 0 &&
+                             now - member.unanswered_since > contact_limit;
         present += counts ? 1 : 0;
-        silent += counts && member.is_silent ? 1 : 0;
+        late += counts && is_late ? 1 : 0;
+    }
+    if (late * 2 > present)
+    {
+        this->link_suspect_until = now + lost_after;
     }
-    this->most_are_silent = silent * 2 > present;
 }
 
 void entry_flow_core::send_hello_to_all(time_point now)
