Treat downloads as repeatable and by their bytes

Cause: the kind "download" is new on the users' sheets (idempotent, 80,000 bytes out). The adapter read it as unsafe: its flows on a lost companion were not given up, and they were placed far away like small requests. Change: request_kind::download; is_repeatable and is_bulk decide for all kinds; a kind that is not known is treated as unsafe.

--- a/include/masticslip/core/configuration.hpp
+++ b/include/masticslip/core/configuration.hpp
@@ -49,11 +49,24 @@
 /// Whether the requests of a flow may be executed more than once.
 enum class request_kind : std::uint8_t
 {
-    safe,   ///< Callers may retry after any failure.
-    unsafe, ///< At most once; callers retry only requests that did not run.
-    upload  ///< At most once, with a large body.
+    safe,    ///< Callers may retry after any failure.
+    unsafe,  ///< At most once; callers retry only requests that did not run.
+    upload,  ///< At most once, with a large body.
+    download ///< Callers may retry after any failure; large answers.
 };
 
+/// True if callers may repeat requests of this kind after any failure.
+constexpr bool is_repeatable(request_kind kind)
+{
+    return kind == request_kind::safe || kind == request_kind::download;
+}
+
+/// True if requests of this kind carry many bytes, in either direction.
+constexpr bool is_bulk(request_kind kind)
+{
+    return kind == request_kind::upload || kind == request_kind::download;
+}
+
 /// An address of a datagram service. A service may have several routes.
 struct route_definition
 {
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -63,7 +63,9 @@
         std::find(request_kind_names.begin(), request_kind_names.end(), kind);
     if (found == request_kind_names.end())
     {
-        reader.fail("kind", "must be \"safe\", \"unsafe\" or \"upload\"");
+        reader.fail(
+            "kind", "must be \"safe\", \"unsafe\", \"upload\" or "
+                    "\"download\"");
     }
     else
     {
--- a/src/core/configuration_format.hpp
+++ b/src/core/configuration_format.hpp
@@ -12,7 +12,7 @@
 constexpr std::uint64_t schema_version = 1;
 
 /// Names of request_kind in the order of its values.
-constexpr std::array<std::string_view, 3> request_kind_names{
-    "safe", "unsafe", "upload"};
+constexpr std::array<std::string_view, 4> request_kind_names{
+    "safe", "unsafe", "upload", "download"};
 
 } // namespace masticslip::detail
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -159,7 +159,7 @@
 {
     const route_definition* route =
         this->current_policy().find_route(flow.target);
-    return route != nullptr && route->kind == request_kind::safe;
+    return route != nullptr && is_repeatable(route->kind);
 }
 
 std::vector<instance_id> entry_flow_core::ranked_companions(
--- a/src/flow/entry_openings.cpp
+++ b/src/flow/entry_openings.cpp
@@ -29,9 +29,10 @@
 /// avoided.
 constexpr std::uint32_t suspect_openings = 1;
 /// Difference of load, in requests per slot, at which a flow is placed in
-/// another failure domain. Uploads carry about forty times the bytes of others.
+/// another failure domain. Uploads and downloads carry forty to a hundred times
+/// the bytes of others.
 constexpr double remote_cost = 0.1;
-constexpr double remote_upload_cost = 1.0;
+constexpr double remote_bulk_cost = 1.0;
 /// Retry interval of openings that wait for capacity.
 constexpr std::chrono::milliseconds wait_interval{20};
 /// While openings wait, a load without capacity is considered current for this
@@ -176,11 +177,10 @@
     const auto candidates = this->candidates_for(now, flow, item);
     const route_definition* route =
         this->current_policy().find_route(flow.target);
-    const bool is_upload =
-        route != nullptr && route->kind == request_kind::upload;
+    const bool carries_bulk = route != nullptr && is_bulk(route->kind);
     const placement_request request{
         hash_flow_endpoints(flow),
-        is_upload ? remote_upload_cost : remote_cost};
+        carries_bulk ? remote_bulk_cost : remote_cost};
     const auto chosen = item.tried.size() < max_attempts
                             ? this->placement->choose(candidates, request)
                             : std::nullopt;
--- a/standins/flow/virtual_callers.cpp
+++ b/standins/flow/virtual_callers.cpp
@@ -71,7 +71,7 @@
     item.asked = this->queue.now();
     item.retries_left = load_class.retries;
     item.request = this->next_request++;
-    if (load_class.kind != request_kind::safe)
+    if (!is_repeatable(load_class.kind))
     {
         this->non_idempotent.insert(item.request);
     }
@@ -268,9 +268,8 @@
     user& item = this->users[index];
     const request_class& load_class = this->classes[item.class_index];
     this->close(item);
-    const bool may_retry =
-        item.retries_left > 0 &&
-        (load_class.kind == request_kind::safe || !may_have_run);
+    const bool may_retry = item.retries_left > 0 &&
+                           (is_repeatable(load_class.kind) || !may_have_run);
     if (!may_retry)
     {
         this->finish(index, false);
--- a/tests/flow/entry_flow_core_test.cpp
+++ b/tests/flow/entry_flow_core_test.cpp
@@ -431,6 +431,64 @@
     }
 }
 
+/// How an entry treats the flows of a route by the kind of its requests.
+struct kind_case
+{
+    const char* name;
+    request_kind kind;
+    /// Reset if its companion is lost: the caller may repeat its requests.
+    bool is_given_up;
+    /// Placed near although the remote companion has less load.
+    bool stays_near;
+};
+
+std::ostream& operator<<(std::ostream& stream, const kind_case& value)
+{
+    return stream << value.name;
+}
+
+const std::vector<kind_case> kind_cases{
+    {"safe", request_kind::safe, true, false},
+    {"unsafe", request_kind::unsafe, false, false},
+    {"upload", request_kind::upload, false, true},
+    {"download", request_kind::download, true, true}};
+
+BOOST_DATA_TEST_CASE_F(
+    entry_fixture,
+    flows_are_treated_by_the_kind_of_their_requests,
+    boost::unit_test::data::make(kind_cases),
+    item)
+{
+    configuration value = test_policy(7)->value();
+    value.routes[0].kind = item.kind;
+    core.on_policy(
+        at(0ms),
+        std::make_shared<policy>(store_position{0, 7}, std::move(value)));
+    core.on_message(at(0ms), companion(1), ready_report(1, 3));
+    companion_report remote = ready_report(2, 0);
+    remote.failure_domain = "kgl-gas";
+    core.on_message(at(0ms), companion(2), remote);
+
+    core.on_caller_packet(at(1ms), opening_packet(test_flow(1)));
+    BOOST_REQUIRE(output.packets.size() == 1U);
+    const std::uint16_t chosen = item.stays_near ? 1 : 2;
+    BOOST_TEST(
+        to_string(output.packets[0]) ==
+        to_string(companion_packet_address(chosen)));
+
+    core.on_message(
+        at(2ms), companion(chosen), flow_opened{test_flow(1), 1, {}});
+    core.on_caller_packet(at(3ms), data_packet(test_flow(1), 1'001, 2));
+    const std::uint16_t other = item.stays_near ? 2 : 1;
+    for (auto now = 250ms; now <= 2'000ms; now += 250ms)
+    {
+        core.on_message(at(now), companion(other), ready_report(other));
+        core.on_tick(at(now));
+    }
+    core.on_caller_packet(at(2'000ms), data_packet(test_flow(1), 1'101, 2));
+    BOOST_TEST(output.resets.size() == (item.is_given_up ? 1U : 0U));
+}
+
 /// Readiness of an entry that receives reports only from the companion in its
 /// own failure domain.
 struct reachability_case
