Keep the record of a refused request until it is transferred

Change: the record stays; a transfer changes it in place. Result: a_copy_of_a_refused_request_does_not_run failed before (executions 1 instead of 0, a violation of the fleet's check); at_most_once, ownership, unit and load tests pass.

--- a/include/masticslip/core/execution_records.hpp
+++ b/include/masticslip/core/execution_records.hpp
@@ -74,14 +74,11 @@
     void
     finish(time_point now, const request_key& key, const coap_message& answer);
 
-    /// Records that a request was transferred to a companion. Returns
-    /// false if the store is full.
+    /// Records that a request, unexecuted, was transferred to a companion; a
+    /// record of it may exist. Returns false if the store is full.
     bool transfer(
         time_point now, const request_key& key, instance_incarnation target);
 
-    /// Removes the record of a request that was certainly not executed.
-    void discard(const request_key& key);
-
     [[nodiscard]] const std::unordered_map<request_key, execution_record>&
     all() const
     {
--- a/src/core/execution_records.cpp
+++ b/src/core/execution_records.cpp
@@ -64,21 +64,19 @@
 bool execution_records::transfer(
     time_point now, const request_key& key, instance_incarnation target)
 {
-    if (!this->begin(now, key))
+    // A request that the upstream refused has a record already.
+    const auto known = this->records.find(key);
+    if (known == this->records.end() && !this->begin(now, key))
     {
         return false;
     }
     auto& record = this->records[key];
+    record.expires = now + this->window;
     record.transferred_to = target;
     this->expiries.push_back({record.expires, key});
     return true;
 }
 
-void execution_records::discard(const request_key& key)
-{
-    this->records.erase(key);
-}
-
 void execution_records::expire(time_point now)
 {
     while (!this->expiries.empty() && this->expiries.front().when <= now)
--- a/src/core/request_controller.cpp
+++ b/src/core/request_controller.cpp
@@ -299,15 +299,7 @@
     const bool can_transfer = !context.continues_block_transfer() &&
                               context.may_transfer() &&
                               this->context.retries.try_acquire();
-    if (!can_transfer)
-    {
-        return false;
-    }
-    if (item.request.is_non_idempotent())
-    {
-        this->records.discard(item.key);
-    }
-    return this->transfer(context);
+    return can_transfer && this->transfer(context);
 }
 
 void request_controller::update_block_transfer_deadline(
--- a/tests/at_most_once_test.cpp
+++ b/tests/at_most_once_test.cpp
@@ -267,6 +267,30 @@
     }
 }
 
+// Without a sibling to transfer it to, a request that the upstream refused gets
+// "not run"; a late copy of it must not run afterwards.
+BOOST_AUTO_TEST_CASE(a_copy_of_a_refused_request_does_not_run)
+{
+    virtual_options options;
+    options.companions = 1;
+    echo_fixture fixture(options);
+    const bytes echo = fixture.fleet.echo_of(0);
+    fixture.fleet.upstream(0).refuses = true;
+    const std::size_t number = fixture.fleet.post(0);
+    fixture.fleet.run_for(1s);
+    BOOST_TEST(
+        (fixture.fleet.requests()[number].outcome == request_outcome::not_run));
+
+    fixture.fleet.upstream(0).refuses = false;
+    fixture.fleet.inject(0, 0, make_signup(std::to_string(number), echo, 200));
+    fixture.fleet.run_for(1s);
+
+    BOOST_TEST(fixture.fleet.requests()[number].executions == 0U);
+    BOOST_REQUIRE(!fixture.answers.empty());
+    BOOST_TEST((fixture.answers.back().code == coap_code::service_unavailable));
+    BOOST_TEST(fixture.fleet.violations().empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_repeat_after_the_record_window_gets_unknown)
 {
     virtual_options options;
--- a/tests/support/virtual_fleet.hpp
+++ b/tests/support/virtual_fleet.hpp
@@ -110,6 +110,8 @@
     bool alive = true;
     bool draining = false;
     bool silent = false;
+    /// Answers every request with 5.03 and does not run it.
+    bool refuses = false;
     time_point cold_until;
     std::map<bytes, active_request> active_requests;
     std::map<bytes, coap_message> observers;
--- a/tests/support/virtual_upstream.cpp
+++ b/tests/support/virtual_upstream.cpp
@@ -48,6 +48,12 @@
     {
         return;
     }
+    if (upstream.refuses)
+    {
+        this->upstream_answer(
+            node, message, coap_code::service_unavailable, "", false);
+        return;
+    }
     const auto in_flight =
         static_cast<std::uint32_t>(upstream.active_requests.size()) + 1;
     upstream.peak = std::max(upstream.peak, in_flight);
