--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -300,6 +300,7 @@
     flow_event_sink& events;
     const placement_rule* placement;
     policy_succession policies;
+    time_point first_policy_at;
     companion_directory directory;
     flow_table<flow_record> flows;
     flow_table<opening> openings;
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -35,6 +35,10 @@
 void entry_flow_core::on_policy(
     time_point now, std::shared_ptr<const policy> value)
 {
+    if (this->first_policy_at == time_point{} && value->is_known())
+    {
+        this->first_policy_at = now;
+    }
     const offer_result result = this->policies.offer(now, value);
     if (result.older_version_ignored)
     {
--- a/tests/flow/entry_flow_core_test.cpp
+++ b/tests/flow/entry_flow_core_test.cpp
@@ -110,6 +110,30 @@
     BOOST_TEST(output.resets.size() == 1U);
 }
 
+// After a loss of all power entries know the policy before any companion has
+// registered again.
+BOOST_FIXTURE_TEST_CASE(
+    an_opening_waits_while_a_started_entry_discovers_companions, entry_fixture)
+{
+    core.on_policy(at(0ms), test_policy(7));
+    core.on_caller_packet(at(1ms), opening_packet(test_flow(1)));
+    BOOST_TEST(output.resets.empty());
+
+    core.on_message(at(200ms), companion(1), ready_report(1));
+    core.on_tick(at(201ms));
+    BOOST_TEST(output.packets.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    an_opening_for_a_service_that_stays_unknown_is_rejected_at_once,
+    entry_fixture)
+{
+    core.on_policy(at(0ms), test_policy(7));
+    core.on_tick(at(3'000ms));
+    core.on_caller_packet(at(3'001ms), opening_packet(test_flow(1)));
+    BOOST_TEST(output.resets.size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(
     an_opening_is_rejected_at_once_if_all_companions_report_leaving,
     entry_fixture)
