--- a/standins/flow/virtual_fleet_faults.cpp
+++ b/standins/flow/virtual_fleet_faults.cpp
@@ -13,10 +13,6 @@
 /// A stopping entry keeps forwarding for this long, so that the fabric notices
 /// that it is not ready.
 constexpr std::chrono::milliseconds linger{2'000};
-/// Time for which a store is away while it is restored.
-constexpr std::chrono::milliseconds restore_time{300};
-/// Companions register again within this time after a restoration.
-constexpr int registration_spread_ms = 1'000;
 
 } // namespace
 
@@ -193,66 +189,6 @@
         });
 }
 
-void virtual_flow_fleet::restore_store_copy(
-    std::chrono::milliseconds age, std::chrono::milliseconds rewrite)
-{
-    this->store_up = false;
-    this->queue.after(
-        restore_time,
-        [this, age, rewrite]
-        {
-            const configuration newest = this->current_policy->value();
-            this->lose_recent_writes(age);
-            this->store_up = true;
-            this->sync_all_entries();
-            this->queue.after(
-                rewrite,
-                [this, newest]
-                {
-                    // Unless the operators have changed it meanwhile.
-                    if (this->current_policy->value().number < newest.number)
-                    {
-                        this->write_document(newest);
-                    }
-                });
-        });
-}
-
-void virtual_flow_fleet::lose_recent_writes(std::chrono::milliseconds age)
-{
-    auto copy = this->copies.upper_bound(this->queue.now() - age);
-    copy = copy == this->copies.begin() ? copy : std::prev(copy);
-    const stored_state state = copy->second;
-    this->position = state.document->position();
-    ++this->position.era;
-    this->current_policy = std::make_shared<policy>(
-        *state.document, this->position, this->position.era);
-    this->registered = state.registered;
-    this->copies.clear();
-    this->keep_copy();
-    std::uniform_int_distribution<int> spread(0, registration_spread_ms);
-    for (std::size_t i = 0; i < this->companions.size(); ++i)
-    {
-        this->queue.after(
-            std::chrono::milliseconds(spread(this->random)),
-            [this, i]
-            {
-                const companion_process& process = *this->companions[i];
-                if (process.core && !process.has_left)
-                {
-                    this->registered.insert(process.id);
-                    this->keep_copy();
-                    this->sync_all_entries();
-                }
-            });
-    }
-}
-
-void virtual_flow_fleet::change_version()
-{
-    this->publish_policy();
-}
-
 void virtual_flow_fleet::withdraw(std::uint32_t domain)
 {
     this->withdrawn.insert(domain_name(domain));
--- /dev/null
+++ b/standins/flow/virtual_fleet_store.cpp
@@ -0,0 +1,218 @@
+// Metadata store of the simulated fleet: what it holds, how entries read it,
+// its restoration from a copy, and the exchange of policies between peers.
+
+#include "virtual_processes.hpp"
+
+namespace masticslip::standin
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds store_delay{5};
+constexpr std::chrono::milliseconds fetch_delay{3};
+/// Time for which a store is away while it is restored.
+constexpr std::chrono::milliseconds restore_time{300};
+/// Companions register again within this time after a restoration.
+constexpr int registration_spread_ms = 1'000;
+
+} // namespace
+
+void virtual_flow_fleet::publish_policy()
+{
+    configuration value;
+    for (const auto& service : this->shape.services)
+    {
+        service_definition definition;
+        definition.name = service.name;
+        definition.protocol = service_protocol::datagram;
+        definition.cold_flows_per_second = this->shape.cold_flows_per_second;
+        value.services.push_back(definition);
+        route_definition route;
+        route.name = service.name;
+        route.address = service.address;
+        route.service = service.name;
+        route.kind = service.kind;
+        value.routes.push_back(route);
+    }
+    value.withdrawn_domains.assign(
+        this->withdrawn.begin(), this->withdrawn.end());
+    value.number = ++this->version;
+    this->write_document(std::move(value));
+}
+
+void virtual_flow_fleet::write_document(configuration value)
+{
+    ++this->position.revision;
+    this->current_policy =
+        std::make_shared<policy>(this->position, std::move(value));
+    this->keep_copy();
+    for (std::size_t i = 0; i < this->entries.size(); ++i)
+    {
+        this->queue.after(store_delay, [this, i] { this->sync_store(i); });
+    }
+}
+
+void virtual_flow_fleet::keep_copy()
+{
+    this->copies[this->queue.now()] = {this->current_policy, this->registered};
+}
+
+void virtual_flow_fleet::sync_all_entries()
+{
+    for (std::size_t i = 0; i < this->entries.size(); ++i)
+    {
+        this->sync_store(i);
+    }
+}
+
+void virtual_flow_fleet::sync_store(std::size_t index)
+{
+    entry_process& process = *this->entries[index];
+    if (!this->store_up || process.is_denied_by_store)
+    {
+        return;
+    }
+    this->run_on(
+        process,
+        [this, &process](time_point now)
+        {
+            if (!process.core)
+            {
+                return;
+            }
+            process.core->on_policy(now, this->current_policy);
+            for (const instance_id id : this->registered)
+            {
+                const auto& companion =
+                    *this->companions[this->companion_ids.at(id)];
+                process.core->on_listed(
+                    now, {id, "side-" + std::to_string(companion.index),
+                          companion.service, domain_name(companion.domain),
+                          companion.packet_address});
+            }
+            for (const instance_id id : process.listed)
+            {
+                if (!this->registered.contains(id))
+                {
+                    process.core->on_unlisted(now, id);
+                }
+            }
+            process.listed = this->registered;
+        });
+}
+
+void virtual_flow_fleet::fetch(instance_id from, instance_id to)
+{
+    this->queue.after(
+        fetch_delay,
+        [this, from, to]
+        {
+            if (!this->is_reachable(from, to))
+            {
+                return;
+            }
+            const auto peer_entry = this->entry_ids.find(from);
+            const auto peer_companion = this->companion_ids.find(from);
+            std::shared_ptr<const policy> value;
+            if (peer_entry != this->entry_ids.end() &&
+                this->entries[peer_entry->second]->core)
+            {
+                value =
+                    this->entries[peer_entry->second]->core->shared_policy();
+            }
+            else if (
+                peer_companion != this->companion_ids.end() &&
+                this->companions[peer_companion->second]->core)
+            {
+                value = this->companions[peer_companion->second]
+                            ->core->shared_policy();
+            }
+            if (!value)
+            {
+                return;
+            }
+            const auto take = [this, value](auto& process)
+            {
+                this->run_on(
+                    process,
+                    [&process, value](time_point now)
+                    {
+                        if (process.core)
+                        {
+                            process.core->on_policy(now, value);
+                        }
+                    });
+            };
+            if (this->entry_ids.contains(to))
+            {
+                take(*this->entries[this->entry_ids[to]]);
+            }
+            else
+            {
+                take(*this->companions[this->companion_ids[to]]);
+            }
+        });
+}
+
+void virtual_flow_fleet::restore_store_copy(
+    std::chrono::milliseconds age, std::chrono::milliseconds rewrite)
+{
+    this->store_up = false;
+    this->queue.after(
+        restore_time,
+        [this, age, rewrite]
+        {
+            const configuration newest = this->current_policy->value();
+            this->lose_recent_writes(age);
+            this->store_up = true;
+            this->sync_all_entries();
+            this->queue.after(
+                rewrite,
+                [this, newest]
+                {
+                    // Unless the operators have changed it meanwhile.
+                    if (this->current_policy->value().number < newest.number)
+                    {
+                        this->write_document(newest);
+                    }
+                });
+        });
+}
+
+void virtual_flow_fleet::lose_recent_writes(std::chrono::milliseconds age)
+{
+    auto copy = this->copies.upper_bound(this->queue.now() - age);
+    copy = copy == this->copies.begin() ? copy : std::prev(copy);
+    const stored_state state = copy->second;
+    this->position = state.document->position();
+    ++this->position.era;
+    this->current_policy = std::make_shared<policy>(
+        *state.document, this->position, this->position.era);
+    this->registered = state.registered;
+    this->copies.clear();
+    this->keep_copy();
+    std::uniform_int_distribution<int> spread(0, registration_spread_ms);
+    for (std::size_t i = 0; i < this->companions.size(); ++i)
+    {
+        this->queue.after(
+            std::chrono::milliseconds(spread(this->random)),
+            [this, i]
+            {
+                const companion_process& process = *this->companions[i];
+                if (process.core && !process.has_left)
+                {
+                    this->registered.insert(process.id);
+                    this->keep_copy();
+                    this->sync_all_entries();
+                }
+            });
+    }
+}
+
+void virtual_flow_fleet::change_version()
+{
+    this->publish_policy();
+}
+
+} // namespace masticslip::standin
