Pass offered policies by reference

Cause: clang-tidy refuses on_policy of both cores since they only read the offered policy (performance-unnecessary-value-param).

--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -82,7 +82,7 @@
         flow_event_sink& events);
 
     /// Offers a policy; what is newer in it is applied (policy_succession.hpp).
-    void on_policy(time_point now, std::shared_ptr<const policy> value);
+    void on_policy(time_point now, const std::shared_ptr<const policy>& value);
 
     /// The upstream sent its status, or its departure. Returns true if it was
     /// accepted.
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -37,7 +37,7 @@
 }
 
 void companion_flow_core::on_policy(
-    time_point now, std::shared_ptr<const policy> value)
+    time_point now, const std::shared_ptr<const policy>& value)
 {
     this->observe(now);
     const offer_result result = this->policies.offer(now, value);
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -33,7 +33,7 @@
 }
 
 void entry_flow_core::on_policy(
-    time_point now, std::shared_ptr<const policy> value)
+    time_point now, const std::shared_ptr<const policy>& value)
 {
     if (this->first_policy_at == time_point{} && value->is_known())
     {
--- a/src/node/companion_node.cpp
+++ b/src/node/companion_node.cpp
@@ -178,7 +178,7 @@
 void companion_node::apply_policy(
     time_point now, std::shared_ptr<const policy> value)
 {
-    this->core.on_policy(now, std::move(value));
+    this->core.on_policy(now, value);
 }
 
 void companion_node::update_gauges(time_point now)
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -168,7 +168,7 @@
 void entry_node::apply_policy(
     time_point now, std::shared_ptr<const policy> value)
 {
-    this->core.on_policy(now, std::move(value));
+    this->core.on_policy(now, value);
 }
 
 void entry_node::update_gauges(time_point)
