Log the evidence of each reset of an open flow

Cause: a reset was logged with its code only. Change: flow_reset and owner_missing carry a detail with these inputs, and the metric masticslip_flow_resets_total counts resets by code. No decision changes.

--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -258,6 +258,9 @@
     void query_companions(
         time_point now, const flow_endpoints& flow, owner_lookup& item);
     void finish_lookup(time_point now, const flow_endpoints& flow);
+    /// What a lookup has found, for logs.
+    [[nodiscard]] std::string
+    describe_lookup(time_point now, const owner_lookup& item) const;
     void assign_owner(
         time_point now,
         const flow_endpoints& flow,
@@ -293,7 +296,8 @@
         result_code code,
         std::uint32_t candidates = 0,
         std::uint32_t attempts = 0,
-        duration elapsed = {});
+        duration elapsed = {},
+        std::string_view detail = {});
 
     entry_flow_settings settings;
     entry_flow_output& output;
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -21,6 +21,20 @@
 constexpr std::chrono::seconds default_idle_limit{15};
 constexpr std::chrono::milliseconds sweep_interval{500};
 
+/// What an entry knows of a companion that does not answer, for logs.
+std::string describe_silence(time_point now, const directory_member& member)
+{
+    const auto since =
+        std::max(member.load_received_at, member.unanswered_since);
+    const auto silence =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - since);
+    return "unanswered=" + std::to_string(member.unanswered_requests) +
+           " silent_ms=" + std::to_string(silence.count()) +
+           " listed=" + std::to_string(member.is_listed) +
+           " stopping=" + std::to_string(member.is_stopping) +
+           " left=" + std::to_string(member.has_left);
+}
+
 } // namespace
 
 entry_flow_core::entry_flow_core(
@@ -139,9 +153,10 @@
     }
     if (packet.payload_size > 0 && (is_gone || is_given_up))
     {
+        const std::string evidence = describe_silence(now, *member);
         this->emit(
             now, flow_event_kind::flow_reset, packet.flow, flow.companion,
-            result_code::unknown_companion_gone);
+            result_code::unknown_companion_gone, 0, 0, {}, evidence);
         this->output.reset_caller(packet.flow, packet.acknowledged);
         this->flows.erase(packet.flow);
         return;
@@ -297,7 +312,8 @@
     result_code code,
     std::uint32_t candidates,
     std::uint32_t attempts,
-    duration elapsed)
+    duration elapsed,
+    std::string_view detail)
 {
     flow_event event;
     event.kind = kind;
@@ -315,6 +331,7 @@
     event.candidates = candidates;
     event.attempts = attempts;
     event.elapsed = elapsed;
+    event.detail = detail;
     this->events.on_event(now, event);
 }
 
--- a/src/flow/entry_lookups.cpp
+++ b/src/flow/entry_lookups.cpp
@@ -197,7 +197,7 @@
         flow, item.pending.empty() ? instance_id{} : item.pending.front(),
         result_code::unknown_flow_lost,
         static_cast<std::uint32_t>(item.absent.size() + item.pending.size()), 0,
-        now - item.started);
+        now - item.started, this->describe_lookup(now, item));
     if (resets_caller)
     {
         this->output.reset_caller(flow, item.acknowledged);
@@ -205,6 +205,30 @@
     this->lookups.erase(flow);
 }
 
+std::string
+entry_flow_core::describe_lookup(time_point now, const owner_lookup& item) const
+{
+    std::size_t known = 0;
+    std::size_t left = 0;
+    std::size_t listed = 0;
+    for (const instance_id id : this->directory.of_service(item.service))
+    {
+        const directory_member& member = *this->directory.find(id);
+        ++known;
+        left += member.has_left ? 1 : 0;
+        listed += member.is_listed ? 1 : 0;
+    }
+    const auto policy_age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            now - this->first_policy_at);
+    return "known=" + std::to_string(known) +
+           " listed=" + std::to_string(listed) +
+           " left=" + std::to_string(left) +
+           " absent=" + std::to_string(item.absent.size()) +
+           " unanswered=" + std::to_string(item.pending.size()) +
+           " policy_known_ms=" + std::to_string(policy_age.count());
+}
+
 void entry_flow_core::assign_owner(
     time_point now,
     const flow_endpoints& flow,
--- a/src/node/flow_telemetry.cpp
+++ b/src/node/flow_telemetry.cpp
@@ -83,6 +83,10 @@
     {
         this->open_latency.add(event.elapsed);
     }
+    if (event.kind == flow_event_kind::flow_reset)
+    {
+        ++this->reset_counts[event.code];
+    }
     if (event.kind == flow_event_kind::owner_found)
     {
         this->lookup_latency.add(event.elapsed);
@@ -142,6 +146,12 @@
                 std::string(to_string(code)) + "\"} " + std::to_string(count) +
                 "\n";
     }
+    for (const auto& [code, count] : this->reset_counts)
+    {
+        text += "masticslip_flow_resets_total{code=\"" +
+                std::string(to_string(code)) + "\"} " + std::to_string(count) +
+                "\n";
+    }
     for (const auto& [name, value] : this->counters)
     {
         text += "masticslip_" + name + " " + std::to_string(value) + "\n";
--- a/src/node/flow_telemetry.hpp
+++ b/src/node/flow_telemetry.hpp
@@ -85,6 +85,7 @@
     line_writer write;
     std::array<std::uint64_t, flow_event_count> event_counts{};
     std::map<result_code, std::uint64_t> result_counts;
+    std::map<result_code, std::uint64_t> reset_counts;
     std::map<std::string, double> gauges;
     std::map<std::string, std::uint64_t> counters;
     latency_histogram open_latency;
