Reproduce resets of flows whose companions are not listed

Cause: an entry that starts, or is added, while companions register again or are turned away by the store does not know all of them. It resets the flows of those that it does not know. Change: the simulated fleet can end leases in an outage of the store and turn single companions away, and its companions try again until they are registered.

--- a/standins/flow/virtual_fleet_faults.cpp
+++ b/standins/flow/virtual_fleet_faults.cpp
@@ -176,6 +176,41 @@
         });
 }
 
+void virtual_flow_fleet::stop_store_and_end_leases(
+    std::chrono::milliseconds time)
+{
+    this->store_up = false;
+    this->queue.after(
+        time,
+        [this]
+        {
+            this->store_up = true;
+            this->registered.clear();
+            this->sync_all_entries();
+            for (std::size_t i = 0; i < this->companions.size(); ++i)
+            {
+                this->register_companion_later(i);
+            }
+        });
+}
+
+void virtual_flow_fleet::turn_away_companion(
+    std::size_t index, std::chrono::milliseconds time)
+{
+    companion_process& process = *this->companions[index];
+    process.is_denied_by_store = true;
+    this->registered.erase(process.id);
+    this->keep_copy();
+    this->sync_all_entries();
+    this->queue.after(
+        time,
+        [this, index]
+        {
+            this->companions[index]->is_denied_by_store = false;
+            this->register_companion_later(index);
+        });
+}
+
 void virtual_flow_fleet::turn_away_entry(
     std::size_t index, std::chrono::milliseconds time)
 {
--- a/standins/flow/virtual_fleet_store.cpp
+++ b/standins/flow/virtual_fleet_store.cpp
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds restore_time{300};
 /// Companions register again within this time after a restoration.
 constexpr int registration_spread_ms = 1'000;
+/// A companion that the store does not serve tries again after this.
+constexpr std::chrono::milliseconds registration_retry{500};
 
 } // namespace
 
@@ -102,6 +104,34 @@
         });
 }
 
+void virtual_flow_fleet::register_companion(std::size_t index)
+{
+    const companion_process& process = *this->companions[index];
+    if (!process.core || process.has_left)
+    {
+        return;
+    }
+    if (!this->store_up || process.is_denied_by_store)
+    {
+        this->queue.after(
+            registration_retry,
+            [this, index] { this->register_companion(index); });
+        return;
+    }
+    this->registered.insert(process.id);
+    this->keep_copy();
+    this->sync_all_entries();
+}
+
+void virtual_flow_fleet::register_companion_later(std::size_t index)
+{
+    std::uniform_int_distribution<int> phase(
+        0, static_cast<int>(registration_retry.count()));
+    this->queue.after(
+        std::chrono::milliseconds(phase(this->random)),
+        [this, index] { this->register_companion(index); });
+}
+
 void virtual_flow_fleet::fetch(instance_id from, instance_id to)
 {
     this->queue.after(
@@ -197,16 +227,7 @@
     {
         this->queue.after(
             std::chrono::milliseconds(spread(this->random)),
-            [this, i]
-            {
-                const companion_process& process = *this->companions[i];
-                if (process.core && !process.has_left)
-                {
-                    this->registered.insert(process.id);
-                    this->keep_copy();
-                    this->sync_all_entries();
-                }
-            });
+            [this, i] { this->register_companion(i); });
     }
 }
 
--- a/standins/flow/virtual_flow_fleet.cpp
+++ b/standins/flow/virtual_flow_fleet.cpp
@@ -251,13 +251,7 @@
     process.core = std::make_unique<companion_flow_core>(
         settings, process, process.events);
     this->queue.after(
-        store_delay,
-        [this, index]
-        {
-            this->registered.insert(this->companions[index]->id);
-            this->keep_copy();
-            this->sync_all_entries();
-        });
+        store_delay, [this, index] { this->register_companion(index); });
     this->tick_companion(index, process.incarnation_number);
     std::uniform_int_distribution<int> phase(0, 1'000);
     const std::uint64_t incarnation_number = process.incarnation_number;
--- a/standins/flow/virtual_flow_fleet.hpp
+++ b/standins/flow/virtual_flow_fleet.hpp
@@ -110,6 +110,11 @@
     void cut_entry(std::size_t index, std::chrono::milliseconds time);
     /// Makes the store unavailable to all instances.
     void stop_store(std::chrono::milliseconds time);
+    /// Makes the store unavailable to all instances. Leases run out meanwhile:
+    /// companions register again one by one after its return.
+    void stop_store_and_end_leases(std::chrono::milliseconds time);
+    /// The store ends the lease of this companion and turns it away.
+    void turn_away_companion(std::size_t index, std::chrono::milliseconds time);
     /// Makes the store unavailable to this entry.
     void turn_away_entry(std::size_t index, std::chrono::milliseconds time);
     /// The store is away for a moment and returns from a copy of `age` ago, in
@@ -179,6 +184,11 @@
     void start_entry(std::size_t index);
     void start_companion(std::size_t index);
     void create_companion(const std::string& service, std::uint32_t domain);
+    /// Registers a companion in the store, which is tried again while the store
+    /// is not available to it.
+    void register_companion(std::size_t index);
+    /// The same after a random delay: each companion retries on its own.
+    void register_companion_later(std::size_t index);
     void tick_entry(std::size_t index, std::uint64_t incarnation_number);
     void tick_companion(std::size_t index, std::uint64_t incarnation_number);
     void report_status(std::size_t index, std::uint64_t incarnation_number);
--- a/standins/flow/virtual_processes.hpp
+++ b/standins/flow/virtual_processes.hpp
@@ -117,6 +117,7 @@
     time_point cut_until;
     time_point drain_acknowledged;
     bool has_left = false;
+    bool is_denied_by_store = false;
     /// Version of the policy in force at the last tick.
     generation last_version = 0;
 };
