Reset no open flow because its companion is silent

Cause: callers of repeatable requests were reset on open flows whose upstreams served. An entry took a companion that was silent for 1.5 s as lost: it reset the flows of that companion, and in a lookup counted it as not holding the flow. Silence may come from a cut link, a frozen or slow process, or a restart. Change: a flow is kept as long as the store lists its companion or the companion was heard within 5 s, the time for which members count as present. Lookups query silent companions too.

--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -228,12 +228,15 @@
     std::vector<placement_candidate> candidates_for(
         time_point now, const flow_endpoints& flow, const opening& item);
     /// True if the companion has sent no load or left requests unanswered for
-    /// so long that its flows may be given up. A silent companion only receives
-    /// no new flows.
+    /// so long that no opening waits for it. This is no evidence that its
+    /// upstream has lost its flows.
     [[nodiscard]] bool
     is_lost(time_point now, const directory_member& member) const;
-    /// True unless the companion has left or is gone for longer than its entry
-    /// in the store.
+    /// True if the companion has neither been listed by the store nor heard for
+    /// a while.
+    [[nodiscard]] static bool
+    is_out_of_contact(time_point now, const directory_member& member);
+    /// False if the companion has left or is out of contact.
     [[nodiscard]] static bool
     counts_as_present(time_point now, const directory_member& member);
     [[nodiscard]] duration hello_interval() const;
@@ -281,7 +284,7 @@
     /// Load pattern: the entry's own link or processor is busy, so that the
     /// answers of most companions are late, and arrive one after the other.
     /// No companion counts as lost then, nor until the others' answers would
-    /// have come: an upstream that only seems silent still holds its flows.
+    /// have come.
     void check_own_link(time_point now);
     void expire_openings(time_point now);
     void expire_lookups(time_point now);
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -138,11 +138,10 @@
     }
     // Flows do not survive if their companion stops after the departure of its
     // upstream.
-    const bool is_gone = member->has_left && member->is_stopping;
-    const bool is_given_up =
-        this->is_lost(now, *member) && this->is_retry_safe(packet.flow);
-    if (packet.payload_size > 0 && (is_gone || is_given_up) &&
-        !flow.is_established(now))
+    const bool has_left = member->has_left && member->is_stopping;
+    const bool is_gone = has_left || (is_out_of_contact(now, *member) &&
+                                      this->is_retry_safe(packet.flow));
+    if (packet.payload_size > 0 && is_gone && !flow.is_established(now))
     {
         // This may be a late copy of the opening, placed after the caller had
         // opened the flow at another companion.
@@ -151,7 +150,7 @@
         this->start_lookup(now, packet, previous);
         return;
     }
-    if (packet.payload_size > 0 && (is_gone || is_given_up))
+    if (packet.payload_size > 0 && is_gone)
     {
         const std::string evidence = describe_silence(now, *member);
         this->emit(
--- a/src/flow/entry_lookups.cpp
+++ b/src/flow/entry_lookups.cpp
@@ -87,7 +87,6 @@
 {
     const std::size_t service_size =
         this->directory.of_service(item.service).size();
-    const bool is_retry_safe = this->is_retry_safe(flow);
     std::size_t width = 0;
     while (item.pending.empty() && item.rounds <= max_rounds &&
            width < service_size)
@@ -102,12 +101,8 @@
         for (const instance_id id : ids)
         {
             const directory_member& member = *this->directory.find(id);
-            // A lost companion is not queried if the caller may safely retry
-            // the flow's requests.
-            const bool is_given_up =
-                is_retry_safe && this->is_lost(now, member);
             if (!contains(item.absent, id) && !contains(item.uncertain, id) &&
-                !member.has_left && !is_given_up)
+                counts_as_present(now, member))
             {
                 item.pending.push_back(id);
             }
--- a/src/flow/entry_members.cpp
+++ b/src/flow/entry_members.cpp
@@ -58,12 +58,17 @@
            (now - since > limit || is_unresponsive);
 }
 
+bool entry_flow_core::is_out_of_contact(
+    time_point now, const directory_member& member)
+{
+    return !member.is_listed && member.is_silent &&
+           now - member.load_received_at > unlisted_grace;
+}
+
 bool entry_flow_core::counts_as_present(
     time_point now, const directory_member& member)
 {
-    return !member.has_left &&
-           (member.is_listed || !member.is_silent ||
-            now - member.load_received_at <= unlisted_grace);
+    return !member.has_left && !is_out_of_contact(now, member);
 }
 
 bool entry_flow_core::is_isolated(time_point now) const
--- a/tests/flow/entry_fixture.hpp
+++ b/tests/flow/entry_fixture.hpp
@@ -37,6 +37,14 @@
     return report;
 }
 
+/// The registration of the companion with this number.
+inline companion_record registration(std::uint16_t number)
+{
+    return {
+        companion(number), "side-" + std::to_string(number), "meetups",
+        "kgl-nyr", companion_packet_address(number)};
+}
+
 /// An entry in the failure domain of its companions.
 struct entry_fixture
 {
@@ -57,6 +65,36 @@
         this->output.sent.clear();
     }
 
+    /// Companions with these numbers report each 250 ms from `from` to `to`;
+    /// the others are silent.
+    void report_from(
+        const std::vector<std::uint16_t>& numbers,
+        std::chrono::milliseconds from,
+        std::chrono::milliseconds to)
+    {
+        for (auto now = from; now <= to; now += 250ms)
+        {
+            for (const std::uint16_t i : numbers)
+            {
+                this->core.on_message(at(now), companion(i), ready_report(i));
+            }
+            this->core.on_tick(at(now));
+        }
+    }
+
+    /// Companions with these numbers answer that they do not hold the flow.
+    void answer_absent(
+        std::chrono::milliseconds now,
+        const std::vector<std::uint16_t>& numbers,
+        const flow_endpoints& flow)
+    {
+        for (const std::uint16_t i : numbers)
+        {
+            this->core.on_message(
+                at(now), companion(i), owner_answer{flow, ownership::absent});
+        }
+    }
+
     recording_entry_output output;
     recording_event_sink events;
     entry_flow_core core;
