Reset unknown flows only if the entry knows all companions

Cause: callers were reset on open flows whose upstreams served. An entry that had just started looked flows up at the companions that it knew by then, and reset the caller when all of these answered that they do not hold the flow. It may know few: the report of one new companion and a policy fetched from it are enough before the store's list is read, and the list itself lacks companions whose leases have lapsed or that the store turns away. Change: an entry resets after a lookup only if it has read the store's list, all companions that it knows have reported, none reports that there are more, and all have answered. Entries state the number of companions of a service in their hellos once they know all; companions keep it for 5 s, also through a restart of the entry, and report the largest. A hint that names a companion which the entry does not know makes it greet that companion. Flows of a departed companion are looked up once more before the reset; the companion is remembered as departed for the age limit of flows. Six rows of the new an_unknown_flow_is_not_reset_unless_all_companions_are_known and the hint's test cover the parts.

--- a/include/masticslip/flow/companion_directory.hpp
+++ b/include/masticslip/flow/companion_directory.hpp
@@ -41,6 +41,8 @@
     std::uint32_t unanswered_requests = 0;
     /// Flows placed there since the newest load.
     std::uint32_t unreported_placements = 0;
+    /// Number of companions of its service that it has last reported.
+    std::uint32_t reported_service_size = 0;
     /// Opening packets not answered in time since the newest load.
     std::uint32_t unanswered_openings = 0;
     /// True while the store lists it.
@@ -49,6 +51,13 @@
     bool has_left = false;
     /// Has sent no load for several hello intervals; receives no new flows.
     bool is_silent = false;
+
+    /// True if it stops after its upstream has departed. Its flows do not
+    /// survive.
+    [[nodiscard]] bool is_gone() const
+    {
+        return this->has_left && this->is_stopping;
+    }
 };
 
 /// Not thread-safe. Pointers are valid until the next change.
@@ -97,7 +106,15 @@
         return this->members.size();
     }
 
-    void erase(instance_id id);
+    /// Removes a companion. One that is gone stays known as such until it is
+    /// seen again or forget_gone() is called.
+    void erase(time_point now, instance_id id);
+
+    /// True if the companion is gone, or was when it was removed.
+    [[nodiscard]] bool is_gone(instance_id id) const;
+
+    /// Forgets gone companions that were removed before `limit`.
+    void forget_gone(time_point limit);
 
 private:
     directory_member&
@@ -105,6 +122,8 @@
 
     std::map<instance_id, directory_member> members;
     std::unordered_map<service_id, std::vector<instance_id>> by_service;
+    /// Removed companions that are gone, with the time of their removal.
+    std::map<instance_id, time_point> gone;
 };
 
 } // namespace masticslip
--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -205,6 +205,8 @@
     void expire_hints(time_point now);
     void
     on_hello(time_point now, instance_id sender, const entry_hello& message);
+    /// Largest number of companions of the service that was stated recently.
+    [[nodiscard]] std::uint32_t service_size(time_point now) const;
     [[nodiscard]] companion_report report(time_point now);
     void send_reports(time_point now);
     /// Sends a report to one refused entry for each free slot.
@@ -240,6 +242,10 @@
     {
         time_point last_hello_at;
         time_point last_report_at;
+        /// Number of companions of the service that it stated last, which
+        /// outlasts a restart of the entry.
+        std::uint32_t service_size = 0;
+        time_point service_size_stated_at;
     };
 
     companion_flow_settings settings;
--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -86,6 +86,10 @@
     /// The store no longer lists a companion.
     void on_unlisted(time_point now, instance_id id);
 
+    /// The store's list was read whole. Call after on_listed and on_unlisted
+    /// for its contents.
+    void on_list_read();
+
     /// A caller sent a packet.
     void on_caller_packet(time_point now, const flow_packet& packet);
 
@@ -140,10 +144,6 @@
     static constexpr std::chrono::milliseconds tick_interval{250};
 
 private:
-    /// A companion returns packets of flows that it does not hold within this
-    /// time: several round trips between failure domains.
-    static constexpr std::chrono::milliseconds max_return_delay{100};
-
     struct flow_record
     {
         instance_id companion;
@@ -154,22 +154,8 @@
         /// The highest-ranked companions were sent a hint with the owner.
         bool hint_sent = false;
         bool closing = false;
-        /// The companion itself answered a query that its upstream holds the
-        /// flow.
-        bool answered_owned = false;
         time_point known_since;
         time_point last_packet;
-        /// Time at which the first packet after the opening was forwarded.
-        time_point forwarding_since;
-
-        /// True if the companion received packets of the flow and did not
-        /// return them: the caller has opened the flow there.
-        [[nodiscard]] bool is_established(time_point now) const
-        {
-            return this->answered_owned ||
-                   (this->forwarding_since != time_point{} &&
-                    now - this->forwarding_since >= max_return_delay);
-        }
     };
 
     /// An opening packet that no companion has answered with flow_opened.
@@ -188,6 +174,16 @@
         result_code last_refusal = result_code::not_run_no_upstream;
     };
 
+    /// What is known of the owner of a flow that is looked up.
+    enum class owner_state : std::uint8_t
+    {
+        unknown,
+        /// The owner is known, and has departed.
+        departed,
+        /// There is an owner that cannot be queried.
+        unreachable
+    };
+
     /// A lookup of the owner of a flow.
     struct owner_lookup
     {
@@ -195,6 +191,7 @@
         std::vector<bytes> packets;
         std::uint32_t acknowledged = 0;
         bool has_payload = false;
+        owner_state owner = owner_state::unknown;
         time_point started;
         time_point deadline;
         std::vector<instance_id> pending;
@@ -253,10 +250,16 @@
     [[nodiscard]] bool may_wait(
         time_point now, const flow_endpoints& flow, const opening& item) const;
     void forward(time_point now, flow_record& flow, const flow_packet& packet);
+    /// Looks up a known flow whose companion is gone or no longer known.
+    void look_up_again(time_point now, const flow_packet& packet, bool is_gone);
     void start_lookup(
         time_point now,
         const flow_packet& packet,
-        std::optional<instance_id> except);
+        std::optional<instance_id> except,
+        owner_state owner = owner_state::unknown);
+    /// True if the lookup has shown that no upstream holds the flow.
+    [[nodiscard]] bool
+    is_held_by_none(time_point now, const owner_lookup& item) const;
     /// Queries the next companions by rank.
     void query_companions(
         time_point now, const flow_endpoints& flow, owner_lookup& item);
@@ -278,6 +281,8 @@
     void on_report(
         time_point now, instance_id sender, const companion_report& message);
     void send_hello(time_point now, directory_member& member);
+    /// Greets a companion that only others know; its report makes it known.
+    void send_first_hello(time_point now, service_id service, instance_id id);
     void send_hello_to_all(time_point now);
     /// Sends hellos that are due and marks companions that do not answer.
     void send_due_hellos(time_point now);
@@ -286,6 +291,18 @@
     /// No companion counts as lost then, nor until the others' answers would
     /// have come.
     void check_own_link(time_point now);
+    /// Number of companions of a service that are present; zero if the entry
+    /// does not know all of them.
+    [[nodiscard]] std::uint32_t
+    stated_size(time_point now, service_id service) const;
+    /// Largest number of companions of a service that one of them reports.
+    [[nodiscard]] std::uint32_t reported_size(service_id service) const;
+    /// True if the entry has read the store's list, all companions of the
+    /// service that it knows have reported, and none reports that there are
+    /// more. Otherwise a companion that the entry does not know may hold a flow
+    /// that all others do not hold.
+    [[nodiscard]] bool
+    knows_all_companions(time_point now, service_id service) const;
     void expire_openings(time_point now);
     void expire_lookups(time_point now);
     void expire_flows(time_point now);
@@ -322,6 +339,7 @@
     time_point link_suspect_until;
     std::uint32_t reported_entry_count = 0;
     bool has_received_report = false;
+    bool has_read_list = false;
 };
 
 } // namespace masticslip
--- a/include/masticslip/flow/flow_messages.hpp
+++ b/include/masticslip/flow/flow_messages.hpp
@@ -41,6 +41,9 @@
     policy_mark policy;
     /// False if the store does not list the companion.
     bool is_listed = true;
+    /// Number of companions of the receiver's service; zero: the entry does not
+    /// know all of them.
+    std::uint32_t service_size = 0;
 };
 
 /// Companion to entry: identity, load and policy.
@@ -59,6 +62,9 @@
     bool is_stopping = false;
     /// The upstream has departed permanently.
     bool has_left = false;
+    /// Largest number of companions of its service that an entry has recently
+    /// stated; zero: none has.
+    std::uint32_t service_size = 0;
 };
 
 /// The upstream has accepted a flow.
--- a/src/flow/companion_admission.cpp
+++ b/src/flow/companion_admission.cpp
@@ -19,6 +19,9 @@
 constexpr std::uint32_t in_flight_per_slot = 4;
 /// The same for a cold upstream, which works more slowly.
 constexpr std::uint32_t cold_in_flight_per_slot = 2;
+/// Numbers of companions that entries stated are reported for this long: until
+/// entries that were restarted together know all companions again.
+constexpr std::chrono::seconds service_size_retention{5};
 
 } // namespace
 
@@ -221,6 +224,20 @@
     // A companion that stops after its upstream has ended does not return.
     result.has_left = this->monitor.has_departed() ||
                       (this->stopping && this->upstream_is_down(now));
+    result.service_size = this->service_size(now);
+    return result;
+}
+
+std::uint32_t companion_flow_core::service_size(time_point now) const
+{
+    std::uint32_t result = 0;
+    for (const auto& [id, entry] : this->entries)
+    {
+        if (now - entry.service_size_stated_at <= service_size_retention)
+        {
+            result = std::max(result, entry.service_size);
+        }
+    }
     return result;
 }
 
--- a/src/flow/companion_directory.cpp
+++ b/src/flow/companion_directory.cpp
@@ -16,7 +16,8 @@
         return found->second;
     }
     // The companion at this address may now serve a different service.
-    this->erase(record.id);
+    this->erase(now, record.id);
+    this->gone.erase(record.id);
     directory_member& created = this->members[record.id];
     created.service = service;
     created.known_since = now;
@@ -64,6 +65,7 @@
     target.record = record;
     target.is_stopping = report.is_stopping;
     target.has_left = report.has_left;
+    target.reported_service_size = report.service_size;
     this->on_load(now, id, report.load);
     return is_new;
 }
@@ -120,13 +122,29 @@
     return found == this->by_service.end() ? none : found->second;
 }
 
-void companion_directory::erase(instance_id id)
+bool companion_directory::is_gone(instance_id id) const
+{
+    const directory_member* target = this->find(id);
+    return target == nullptr ? this->gone.contains(id) : target->is_gone();
+}
+
+void companion_directory::forget_gone(time_point limit)
+{
+    std::erase_if(
+        this->gone, [limit](const auto& item) { return item.second < limit; });
+}
+
+void companion_directory::erase(time_point now, instance_id id)
 {
     const auto found = this->members.find(id);
     if (found == this->members.end())
     {
         return;
     }
+    if (found->second.is_gone())
+    {
+        this->gone[id] = now;
+    }
     auto& ids = this->by_service[found->second.service];
     ids.erase(std::remove(ids.begin(), ids.end(), id), ids.end());
     this->members.erase(found);
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -217,6 +217,11 @@
 {
     known_entry& entry = this->entries[sender];
     entry.last_hello_at = now;
+    if (message.service_size != 0)
+    {
+        entry.service_size = message.service_size;
+        entry.service_size_stated_at = now;
+    }
     const mark_relation relation = this->policies.compare(message.policy);
     if (relation == mark_relation::same_contents)
     {
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -21,20 +21,6 @@
 constexpr std::chrono::seconds default_idle_limit{15};
 constexpr std::chrono::milliseconds sweep_interval{500};
 
-/// What an entry knows of a companion that does not answer, for logs.
-std::string describe_silence(time_point now, const directory_member& member)
-{
-    const auto since =
-        std::max(member.load_received_at, member.unanswered_since);
-    const auto silence =
-        std::chrono::duration_cast<std::chrono::milliseconds>(now - since);
-    return "unanswered=" + std::to_string(member.unanswered_requests) +
-           " silent_ms=" + std::to_string(silence.count()) +
-           " listed=" + std::to_string(member.is_listed) +
-           " stopping=" + std::to_string(member.is_stopping) +
-           " left=" + std::to_string(member.has_left);
-}
-
 } // namespace
 
 entry_flow_core::entry_flow_core(
@@ -93,6 +79,11 @@
     }
 }
 
+void entry_flow_core::on_list_read()
+{
+    this->has_read_list = true;
+}
+
 void entry_flow_core::on_caller_packet(
     time_point now, const flow_packet& packet)
 {
@@ -129,48 +120,45 @@
 void entry_flow_core::forward(
     time_point now, flow_record& flow, const flow_packet& packet)
 {
-    directory_member* member = this->directory.find(flow.companion);
-    if (member == nullptr)
+    const directory_member* member = this->directory.find(flow.companion);
+    const bool has_departed =
+        this->directory.is_gone(flow.companion) ||
+        (member != nullptr && is_out_of_contact(now, *member) &&
+         this->is_retry_safe(packet.flow));
+    if (member == nullptr || (packet.payload_size > 0 && has_departed))
     {
-        this->flows.erase(packet.flow);
-        this->start_lookup(now, packet, std::nullopt);
+        this->look_up_again(now, packet, has_departed);
         return;
     }
-    // Flows do not survive if their companion stops after the departure of its
-    // upstream.
-    const bool has_left = member->has_left && member->is_stopping;
-    const bool is_gone = has_left || (is_out_of_contact(now, *member) &&
-                                      this->is_retry_safe(packet.flow));
-    if (packet.payload_size > 0 && is_gone && !flow.is_established(now))
+    if (flow.is_probe && now - flow.last_packet < probe_interval)
     {
-        // This may be a late copy of the opening, placed after the caller had
-        // opened the flow at another companion.
-        const instance_id previous = flow.companion;
-        this->flows.erase(packet.flow);
-        this->start_lookup(now, packet, previous);
         return;
     }
-    if (packet.payload_size > 0 && is_gone)
+    flow.last_packet = now;
+    flow.closing = flow.closing || packet.flags.closes || packet.flags.resets;
+    this->output.send_packet(member->record.packet_address, packet.raw);
+}
+
+void entry_flow_core::look_up_again(
+    time_point now, const flow_packet& packet, bool has_departed)
+{
+    const flow_record record = this->flows[packet.flow];
+    this->flows.erase(packet.flow);
+    if (!record.confirmed)
     {
-        const std::string evidence = describe_silence(now, *member);
-        this->emit(
-            now, flow_event_kind::flow_reset, packet.flow, flow.companion,
-            result_code::unknown_companion_gone, 0, 0, {}, evidence);
-        this->output.reset_caller(packet.flow, packet.acknowledged);
-        this->flows.erase(packet.flow);
-        return;
+        // A late copy of the opening may have been placed after the caller had
+        // opened the flow at another companion.
+        this->start_lookup(now, packet, std::nullopt);
     }
-    if (flow.is_probe && now - flow.last_packet < probe_interval)
+    else if (has_departed)
     {
-        return;
+        this->start_lookup(
+            now, packet, record.companion, owner_state::departed);
     }
-    flow.last_packet = now;
-    if (!packet.flags.opens && flow.forwarding_since == time_point{})
+    else
     {
-        flow.forwarding_since = now;
+        this->start_lookup(now, packet, std::nullopt, owner_state::unreachable);
     }
-    flow.closing = flow.closing || packet.flags.closes || packet.flags.resets;
-    this->output.send_packet(member->record.packet_address, packet.raw);
 }
 
 bool entry_flow_core::is_retry_safe(const flow_endpoints& flow) const
--- a/src/flow/entry_lookups.cpp
+++ b/src/flow/entry_lookups.cpp
@@ -5,6 +5,7 @@
 #include "masticslip/flow/detail/entry_flow_limits.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace masticslip
 {
@@ -31,6 +32,10 @@
 /// Maximum number of concurrent lookups, which hold packets.
 constexpr std::size_t max_lookups = 2'000;
 
+/// In the order of owner_state.
+constexpr std::array<std::string_view, 3> owner_state_names{
+    "unknown", "departed", "unreachable"};
+
 void remove(std::vector<instance_id>& ids, instance_id id)
 {
     ids.erase(std::remove(ids.begin(), ids.end(), id), ids.end());
@@ -41,7 +46,8 @@
 void entry_flow_core::start_lookup(
     time_point now,
     const flow_packet& packet,
-    std::optional<instance_id> except)
+    std::optional<instance_id> except,
+    owner_state owner)
 {
     const route_definition* route =
         this->current_policy().find_route(packet.flow.target);
@@ -54,6 +60,7 @@
     const bool is_new = known == this->lookups.end();
     owner_lookup& item = this->lookups[packet.flow];
     item.acknowledged = packet.acknowledged;
+    item.owner = std::max(item.owner, owner);
     item.has_payload = item.has_payload || packet.payload_size > 0;
     if (item.packets.size() < max_held_packets)
     {
@@ -125,7 +132,6 @@
         message.answer == ownership::owned)
     {
         known->second.confirmed = true;
-        known->second.answered_owned = true;
         known->second.is_probe = false;
     }
     const auto found = this->lookups.find(message.flow);
@@ -137,16 +143,22 @@
     if (message.answer == ownership::owned)
     {
         this->assign_owner(now, message.flow, sender, true);
-        this->flows[message.flow].answered_owned = true;
         return;
     }
-    if (!contains(item.absent, message.owner) &&
-        this->directory.find(message.owner) != nullptr)
+    const bool has_hint = message.owner.value != 0 &&
+                          !contains(item.absent, message.owner) &&
+                          !this->directory.is_gone(message.owner);
+    if (has_hint && this->directory.find(message.owner) != nullptr)
     {
         // If the hint is wrong, the companion returns the packets.
         this->assign_owner(now, message.flow, message.owner, true);
         return;
     }
+    if (has_hint)
+    {
+        item.owner = owner_state::unreachable;
+        this->send_first_hello(now, item.service, message.owner);
+    }
     remove(item.pending, sender);
     if (message.answer == ownership::uncertain)
     {
@@ -183,8 +195,8 @@
         this->assign_owner(now, flow, item.uncertain[index], false);
         return;
     }
-    const bool resets_caller = item.is_complete && item.pending.empty() &&
-                               !item.absent.empty() && item.has_payload;
+    const bool resets_caller =
+        item.has_payload && this->is_held_by_none(now, item);
     this->emit(
         now,
         resets_caller ? flow_event_kind::flow_reset
@@ -200,6 +212,24 @@
     this->lookups.erase(flow);
 }
 
+bool entry_flow_core::is_held_by_none(
+    time_point now, const owner_lookup& item) const
+{
+    switch (item.owner)
+    {
+    case owner_state::departed:
+        return true;
+    case owner_state::unreachable:
+        return false;
+    case owner_state::unknown:
+        break;
+    }
+    // Silence of a companion is no evidence that its upstream has lost a flow.
+    const bool is_answered =
+        item.is_complete && item.pending.empty() && !item.absent.empty();
+    return is_answered && this->knows_all_companions(now, item.service);
+}
+
 std::string
 entry_flow_core::describe_lookup(time_point now, const owner_lookup& item) const
 {
@@ -219,8 +249,12 @@
     return "known=" + std::to_string(known) +
            " listed=" + std::to_string(listed) +
            " left=" + std::to_string(left) +
+           " reported=" + std::to_string(this->reported_size(item.service)) +
            " absent=" + std::to_string(item.absent.size()) +
-           " unanswered=" + std::to_string(item.pending.size()) +
+           " unanswered=" + std::to_string(item.pending.size()) + " owner=" +
+           std::string(
+               owner_state_names.at(static_cast<std::size_t>(item.owner))) +
+           " list_read=" + std::to_string(this->has_read_list) +
            " policy_known_ms=" + std::to_string(policy_age.count());
 }
 
--- a/src/flow/entry_members.cpp
+++ b/src/flow/entry_members.cpp
@@ -156,8 +156,18 @@
     this->contact.on_request_sent(now);
     this->directory.on_request_sent(now, member.record.id);
     this->output.send(
-        member.record.id,
-        entry_hello{this->current_policy().mark(), member.is_listed});
+        member.record.id, entry_hello{
+                              this->current_policy().mark(), member.is_listed,
+                              this->stated_size(now, member.service)});
+}
+
+void entry_flow_core::send_first_hello(
+    time_point now, service_id service, instance_id id)
+{
+    this->output.send(
+        id, entry_hello{
+                this->current_policy().mark(), true,
+                this->stated_size(now, service)});
 }
 
 void entry_flow_core::send_due_hellos(time_point now)
@@ -200,6 +210,51 @@
     }
 }
 
+std::uint32_t
+entry_flow_core::stated_size(time_point now, service_id service) const
+{
+    if (!this->knows_all_companions(now, service))
+    {
+        return 0;
+    }
+    const auto& ids = this->directory.of_service(service);
+    return static_cast<std::uint32_t>(std::count_if(
+        ids.begin(), ids.end(),
+        [this, now](instance_id id)
+        { return counts_as_present(now, *this->directory.find(id)); }));
+}
+
+std::uint32_t entry_flow_core::reported_size(service_id service) const
+{
+    std::uint32_t result = 0;
+    for (const instance_id id : this->directory.of_service(service))
+    {
+        result =
+            std::max(result, this->directory.find(id)->reported_service_size);
+    }
+    return result;
+}
+
+bool entry_flow_core::knows_all_companions(
+    time_point now, service_id service) const
+{
+    std::uint32_t known = 0;
+    for (const instance_id id : this->directory.of_service(service))
+    {
+        const directory_member& member = *this->directory.find(id);
+        if (!counts_as_present(now, member))
+        {
+            continue;
+        }
+        if (member.load_received_at == time_point{})
+        {
+            return false;
+        }
+        ++known;
+    }
+    return this->has_read_list && known >= this->reported_size(service);
+}
+
 void entry_flow_core::send_hello_to_all(time_point now)
 {
     for (auto& [id, member] : this->directory.all())
@@ -224,8 +279,9 @@
     {
         this->emit(
             now, flow_event_kind::member_left, {}, id, result_code::done);
-        this->directory.erase(id);
+        this->directory.erase(now, id);
     }
+    this->directory.forget_gone(now - this->settings.flow_age_limit);
 }
 
 } // namespace masticslip
--- a/src/wire/flow_message_codec.cpp
+++ b/src/wire/flow_message_codec.cpp
@@ -76,6 +76,7 @@
 {
     policy_mark_field(archive, message.policy);
     archive.plain(message.is_listed);
+    archive.plain(message.service_size);
 }
 
 template <class Archive, is_message<companion_report> Message>
@@ -90,6 +91,7 @@
     archive.plain(message.entry_count);
     archive.plain(message.is_stopping);
     archive.plain(message.has_left);
+    archive.plain(message.service_size);
 }
 
 template <class Archive, is_message<flow_opened> Message>
--- a/standins/flow/virtual_fleet_store.cpp
+++ b/standins/flow/virtual_fleet_store.cpp
@@ -101,6 +101,7 @@
                 }
             }
             process.listed = this->registered;
+            process.core->on_list_read();
         });
 }
 
--- a/tests/flow/companion_flow_core_test.cpp
+++ b/tests/flow/companion_flow_core_test.cpp
@@ -417,4 +417,25 @@
     BOOST_TEST((answers[0].owner == owner));
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    reports_the_largest_service_size_that_was_stated_recently,
+    companion_fixture)
+{
+    make_ready();
+    const instance_id other{entry.value + 1};
+    const auto reported_size =
+        [this](std::chrono::milliseconds now, instance_id from, unsigned stated)
+    {
+        output.sent.clear();
+        core.on_message(at(now), from, entry_hello{mark_at(7), true, stated});
+        return messages_of<companion_report>(output.sent).at(0).service_size;
+    };
+    BOOST_TEST(reported_size(0ms, entry, 7) == 7U);
+    BOOST_TEST(reported_size(100ms, other, 6) == 7U);
+    // A restarted entry does not know the number yet.
+    BOOST_TEST(reported_size(1'000ms, entry, 0) == 7U);
+    BOOST_TEST(reported_size(6'000ms, entry, 0) == 0U);
+    BOOST_TEST(reported_size(6'100ms, entry, 6) == 6U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/flow/entry_flow_core_test.cpp
+++ b/tests/flow/entry_flow_core_test.cpp
@@ -161,6 +161,27 @@
     report.is_stopping = true;
     core.on_message(at(400ms), companion(1), report);
     core.on_caller_packet(at(401ms), data_packet(test_flow(1), 1'101, 2));
+    answer_absent(402ms, {2}, test_flow(1));
+    BOOST_TEST(output.resets.size() == 1U);
+}
+
+// A lookup does not reach all companions of a service of this size.
+BOOST_FIXTURE_TEST_CASE(
+    a_flow_of_a_departed_upstream_of_a_large_service_is_reset, entry_fixture)
+{
+    make_ready(300);
+    core.on_message(at(1ms), companion(5), flow_opened{test_flow(1), 1, {}});
+    companion_report report = ready_report(5);
+    report.has_left = true;
+    report.is_stopping = true;
+    core.on_message(at(2ms), companion(5), report);
+    core.on_caller_packet(at(3ms), data_packet(test_flow(1), 1'001, 2));
+    for (std::size_t i = 0; i < output.sent.size(); ++i)
+    {
+        core.on_message(
+            at(4ms), output.sent[i].to,
+            owner_answer{test_flow(1), ownership::absent});
+    }
     BOOST_TEST(output.resets.size() == 1U);
 }
 
--- a/tests/flow/entry_lookups_test.cpp
+++ b/tests/flow/entry_lookups_test.cpp
@@ -184,6 +184,81 @@
     BOOST_TEST(output.resets.size() == item.resets);
 }
 
+/// What an entry knows of the companions of a service when those that it knows
+/// answer that they do not hold a flow.
+struct knowledge_case
+{
+    const char* name;
+    bool has_read_list;
+    /// Listed, but has not reported.
+    bool has_unheard_companion;
+    /// Number of companions that the others report.
+    std::uint32_t reported_size;
+    std::size_t resets;
+};
+
+std::ostream& operator<<(std::ostream& stream, const knowledge_case& value)
+{
+    return stream << value.name;
+}
+
+const std::vector<knowledge_case> knowledge_cases{
+    {"all_are_known", true, false, 2, 1},
+    {"no_entry_has_stated_a_number", true, false, 0, 1},
+    {"one_has_left_meanwhile", true, false, 1, 1},
+    {"the_list_was_not_read", false, false, 2, 0},
+    {"a_listed_companion_has_not_reported", true, true, 2, 0},
+    {"others_know_more_companions", true, false, 3, 0}};
+
+BOOST_DATA_TEST_CASE_F(
+    entry_fixture,
+    an_unknown_flow_is_not_reset_unless_all_companions_are_known,
+    boost::unit_test::data::make(knowledge_cases),
+    item)
+{
+    core.on_policy(at(0ms), test_policy(7));
+    for (const std::uint16_t i : {1, 2})
+    {
+        companion_report report = ready_report(i);
+        report.service_size = item.reported_size;
+        core.on_message(at(0ms), companion(i), report);
+    }
+    if (item.has_unheard_companion)
+    {
+        core.on_listed(at(0ms), registration(3));
+    }
+    if (item.has_read_list)
+    {
+        core.on_list_read();
+    }
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'001, 2));
+    answer_absent(2ms, {1, 2}, test_flow(1));
+    // Also the companion that the entry has not heard before.
+    answer_absent(3ms, {3}, test_flow(1));
+
+    BOOST_TEST(output.resets.size() == item.resets);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_hint_to_an_unknown_companion_makes_the_entry_ask_it, entry_fixture)
+{
+    make_ready(2);
+    const owner_answer hinted{test_flow(1), ownership::absent, companion(9)};
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'001, 2));
+    core.on_message(at(2ms), companion(1), hinted);
+    core.on_message(at(2ms), companion(2), hinted);
+    BOOST_TEST(output.resets.empty());
+    BOOST_REQUIRE(!output.sent.empty());
+    BOOST_TEST((output.sent.back().to == companion(9)));
+
+    core.on_message(at(4ms), companion(9), ready_report(9));
+    core.on_caller_packet(at(200ms), data_packet(test_flow(1), 1'001, 2));
+    core.on_message(at(202ms), companion(1), hinted);
+    BOOST_REQUIRE(output.packets.size() == 1U);
+    BOOST_TEST(
+        to_string(output.packets[0]) == to_string(companion_packet_address(9)));
+}
+
 BOOST_FIXTURE_TEST_CASE(uncertain_companions_are_tried_in_turn, entry_fixture)
 {
     make_ready(2);
