Reset flows without a route only if the route was removed

Cause: an entry reset every packet whose target its policy lacks. An entry that has just started with the policy of a peer that is behind lacks the routes added since, and resets open flows of these. Change: the entry remembers for the age limit of flows which targets policies have removed, and resets packets of open flows for those only. Openings without a route are still reset: they have not run.

--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -27,6 +27,7 @@
 #include <boost/unordered/unordered_flat_map.hpp>
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -206,6 +207,9 @@
     using flow_table = boost::
         unordered_flat_map<flow_endpoints, Value, std::hash<flow_endpoints>>;
 
+    /// Remembers the targets that the policy in force lacks.
+    void record_removed_targets(time_point now, const policy& previous);
+    void on_packet_without_route(time_point now, const flow_packet& packet);
     void on_opening(time_point now, const flow_packet& packet);
     void place(time_point now, const flow_endpoints& flow, opening& item);
     void reject(time_point now, const flow_endpoints& flow, opening& item);
@@ -325,6 +329,8 @@
     const placement_rule* placement;
     policy_succession policies;
     time_point first_policy_at;
+    /// Targets whose routes were removed within the age limit of flows.
+    std::map<endpoint, time_point> removed_targets;
     companion_directory directory;
     flow_table<flow_record> flows;
     flow_table<opening> openings;
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -39,6 +39,7 @@
     {
         this->first_policy_at = now;
     }
+    const std::shared_ptr<const policy> previous = this->policies.current();
     const offer_result result = this->policies.offer(now, value);
     if (result.older_version_ignored)
     {
@@ -48,10 +49,38 @@
     }
     if (result.contents_changed)
     {
+        this->record_removed_targets(now, *previous);
         this->on_policy_changed(now);
     }
 }
 
+void entry_flow_core::record_removed_targets(
+    time_point now, const policy& previous)
+{
+    for (const route_definition& route : previous.value().routes)
+    {
+        if (this->current_policy().find_route(route.address) == nullptr)
+        {
+            this->removed_targets[route.address] = now;
+        }
+    }
+}
+
+void entry_flow_core::on_packet_without_route(
+    time_point now, const flow_packet& packet)
+{
+    this->flows.erase(packet.flow);
+    // A policy that is older than the flow lacks its route, too.
+    const bool is_removed = this->removed_targets.contains(packet.flow.target);
+    if (!packet.flags.resets && (packet.is_opening() || is_removed))
+    {
+        this->emit(
+            now, flow_event_kind::flow_rejected, packet.flow, {},
+            result_code::not_run_no_route);
+        this->output.reset_caller(packet.flow, packet.acknowledged);
+    }
+}
+
 void entry_flow_core::on_policy_changed(time_point now)
 {
     this->emit(
@@ -93,14 +122,7 @@
     }
     if (this->current_policy().find_route(packet.flow.target) == nullptr)
     {
-        this->flows.erase(packet.flow);
-        if (!packet.flags.resets)
-        {
-            this->emit(
-                now, flow_event_kind::flow_rejected, packet.flow, {},
-                result_code::not_run_no_route);
-            this->output.reset_caller(packet.flow, packet.acknowledged);
-        }
+        this->on_packet_without_route(now, packet);
         return;
     }
     if (packet.is_opening())
@@ -241,6 +263,9 @@
         this->next_sweep = now + sweep_interval;
         this->expire_flows(now);
         this->remove_stale_members(now);
+        std::erase_if(
+            this->removed_targets, [this, now](const auto& item)
+            { return now - item.second > this->settings.flow_age_limit; });
     }
 }
 
--- a/tests/flow/entry_flow_core_test.cpp
+++ b/tests/flow/entry_flow_core_test.cpp
@@ -262,6 +262,32 @@
     BOOST_TEST(output.resets.size() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    an_open_flow_is_not_reset_by_a_policy_that_never_had_its_route,
+    entry_fixture)
+{
+    make_ready(1);
+    flow_endpoints flow = test_flow(1);
+    flow.target = {9, 9};
+    core.on_caller_packet(at(1ms), data_packet(flow, 1'001, 2));
+    BOOST_TEST(output.resets.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    an_open_flow_is_reset_once_its_route_is_removed, entry_fixture)
+{
+    make_ready(1);
+    configuration value = test_policy(8)->value();
+    std::erase_if(
+        value.routes, [](const route_definition& route)
+        { return route.address == test_target; });
+    core.on_policy(
+        at(1ms),
+        std::make_shared<policy>(store_position{0, 8}, std::move(value)));
+    core.on_caller_packet(at(2ms), data_packet(test_flow(1), 1'001, 2));
+    BOOST_TEST(output.resets.size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(no_flow_is_placed_in_a_withdrawn_domain, entry_fixture)
 {
     make_ready(2);
