Ask companions that become known during a lookup

Cause: a lookup decided at its start which companions it asks. An entry that read the store's list in the meantime knew all companions at the end, though it had asked only some, and could reset a flow that the others hold. Change: a lookup ends without an owner only if every companion that is present then was asked; those that became known meanwhile are asked next.

--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -198,9 +198,7 @@
         std::vector<instance_id> pending;
         std::vector<instance_id> uncertain;
         std::vector<instance_id> absent;
-        /// Rounds of queries, and whether they reached all companions.
         std::size_t rounds = 0;
-        bool is_complete = false;
     };
 
     template <class Value>
@@ -261,6 +259,10 @@
         const flow_packet& packet,
         std::optional<instance_id> except,
         owner_state owner = owner_state::unknown);
+    /// True if a companion that is present was not queried. It may have become
+    /// known during the lookup.
+    [[nodiscard]] bool
+    has_unqueried(time_point now, const owner_lookup& item) const;
     /// True if the lookup has shown that no upstream holds the flow.
     [[nodiscard]] bool
     is_held_by_none(time_point now, const owner_lookup& item) const;
--- a/src/flow/entry_lookups.cpp
+++ b/src/flow/entry_lookups.cpp
@@ -115,7 +115,6 @@
             }
         }
     }
-    item.is_complete = width >= service_size;
     const owner_query query{flow, item.acknowledged};
     for (const instance_id id : item.pending)
     {
@@ -179,7 +178,8 @@
     owner_lookup& item = this->lookups[flow];
     // Companions with hints are not waited for beyond the first timeout.
     const bool is_hint_round = item.rounds == 1;
-    if (!item.is_complete && (item.pending.empty() || is_hint_round))
+    if ((item.pending.empty() || is_hint_round) &&
+        this->has_unqueried(now, item))
     {
         item.pending.clear();
         this->query_companions(now, flow, item);
@@ -212,6 +212,22 @@
     this->lookups.erase(flow);
 }
 
+bool entry_flow_core::has_unqueried(
+    time_point now, const owner_lookup& item) const
+{
+    const auto& ids = this->directory.of_service(item.service);
+    return std::any_of(
+        ids.begin(), ids.end(),
+        [this, now, &item](instance_id id)
+        {
+            const bool is_queried = contains(item.absent, id) ||
+                                    contains(item.uncertain, id) ||
+                                    contains(item.pending, id);
+            return !is_queried &&
+                   counts_as_present(now, *this->directory.find(id));
+        });
+}
+
 bool entry_flow_core::is_held_by_none(
     time_point now, const owner_lookup& item) const
 {
@@ -225,9 +241,9 @@
         break;
     }
     // Silence of a companion is no evidence that its upstream has lost a flow.
-    const bool is_answered =
-        item.is_complete && item.pending.empty() && !item.absent.empty();
-    return is_answered && this->knows_all_companions(now, item.service);
+    return item.pending.empty() && !item.absent.empty() &&
+           !this->has_unqueried(now, item) &&
+           this->knows_all_companions(now, item.service);
 }
 
 std::string
--- a/tests/flow/entry_lookups_test.cpp
+++ b/tests/flow/entry_lookups_test.cpp
@@ -239,6 +239,22 @@
     BOOST_TEST(output.resets.size() == item.resets);
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    a_companion_that_becomes_known_during_a_lookup_is_queried, entry_fixture)
+{
+    make_ready(1);
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'001, 2));
+    core.on_message(at(2ms), companion(2), ready_report(2));
+    answer_absent(3ms, {1}, test_flow(1));
+    BOOST_TEST(output.resets.empty());
+
+    core.on_message(
+        at(4ms), companion(2), owner_answer{test_flow(1), ownership::owned});
+    BOOST_REQUIRE(output.packets.size() == 1U);
+    BOOST_TEST(
+        to_string(output.packets[0]) == to_string(companion_packet_address(2)));
+}
+
 BOOST_FIXTURE_TEST_CASE(
     a_hint_to_an_unknown_companion_makes_the_entry_ask_it, entry_fixture)
 {
