Keep a resumed companion that stops from declaring its upstream ended

Cause: on_stop did not look for a gap in the process's events first. A companion that was suspended and then told to stop judged the statuses that had not been read while it was suspended as an upstream without status, and reported has_left with is_stopping. Change: on_stop observes the time like every other event. Result: entries take that report as proof: they would reset the callers of flows that the upstream serves, and the companion would remove its key from the store. The new test reported has_left after a gap of 5 s before the change; now the last report only says that the companion stops.

--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -285,6 +285,7 @@
 
 void companion_flow_core::on_stop(time_point now)
 {
+    this->observe(now);
     this->stopping = true;
     this->send_reports(now);
 }
--- a/tests/flow/companion_load_test.cpp
+++ b/tests/flow/companion_load_test.cpp
@@ -212,4 +212,17 @@
     BOOST_TEST(reports.back().has_left == item.has_left);
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    a_resumed_companion_that_stops_does_not_say_that_its_upstream_has_ended,
+    companion_fixture)
+{
+    make_ready();
+    core.on_message(at(0ms), entry, entry_hello{mark_at(7), true});
+    core.on_stop(at(5'000ms));
+    const auto reports = messages_of<companion_report>(output.sent);
+    BOOST_REQUIRE(!reports.empty());
+    BOOST_TEST(reports.back().is_stopping);
+    BOOST_TEST(!reports.back().has_left);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
