Count no flow as idle while its companion is suspended

Cause: the age of a flow's last packet included the time for which the companion was suspended, while its packets were waiting unread. The first tick after a suspension longer than the idle limit removed every flow; the companion had observed its upstream from its start, so it then answered 'absent' for them. Change: idle time counts from the end of the last suspension at the earliest. Result: callers of flows that the upstream held would see resets after a suspension longer than the idle limit. The new test lost the flow after a gap of 30 s before the change (its next packet was returned instead of forwarded).

--- a/src/flow/companion_flows.cpp
+++ b/src/flow/companion_flows.cpp
@@ -302,7 +302,10 @@
     const bool is_crowded =
         this->flows.size() >= this->settings.max_flows / crowded_divisor;
     const bool is_aged = now - flow.created > this->settings.flow_age_limit;
-    return now - flow.last_packet > limit || (is_crowded && is_aged);
+    // Packets that arrived while the process was suspended are still unread.
+    const time_point idle_since =
+        std::max(flow.last_packet, this->observing_since);
+    return now - idle_since > limit || (is_crowded && is_aged);
 }
 
 void companion_flow_core::expire_flows(time_point now)
--- a/tests/flow/flow_limits_test.cpp
+++ b/tests/flow/flow_limits_test.cpp
@@ -127,4 +127,19 @@
     BOOST_TEST(limited.flow_count() <= max_table_size);
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    flows_are_not_idle_while_the_companion_is_suspended, companion_fixture)
+{
+    make_ready();
+    open(test_flow(1), at(10ms));
+
+    core.on_tick(at(30'000ms));
+
+    core.on_caller_packet(
+        at(30'001ms), entry,
+        data_packet(test_flow(1), 1'101, upstream_sequence + 1));
+    BOOST_TEST(output.to_upstream == 3U);
+    BOOST_TEST(messages_of<packet_returned>(output.sent).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
