Take no former incarnation as proof that the running one was observed

Cause: the monitor held that it had seen every packet of an incarnation if it knew an earlier one. A restarted companion may know it from a late status or a late departure only, while the running incarnation has held flows for long. Change: the number of the first status, one an interval, bounds the age of the sender; it must not exceed the time for which this process has been observing. Result: such a companion answered 'absent' for open flows of its upstream, and entries would reset their callers. Three of four orders of messages in the new test gave that answer before the change; now all give 'uncertain', so the upstream is asked. An upstream that starts under a running companion still counts as observed when its first statuses are lost (second test).

--- a/include/masticslip/flow/upstream_monitor.hpp
+++ b/include/masticslip/flow/upstream_monitor.hpp
@@ -39,6 +39,9 @@
     {
     }
 
+    /// This process starts to observe the upstream; call once, first.
+    void on_start(time_point now);
+
     /// Processes a status of the upstream.
     status_outcome on_status(const upstream_status& status, time_point now);
 
@@ -101,8 +104,13 @@
 
 private:
     [[nodiscard]] bool is_status_overdue(time_point now) const;
+    /// True if the sender of this status, the first of its incarnation, started
+    /// after this process.
+    [[nodiscard]] bool started_under_observation(
+        const upstream_status& status, time_point now) const;
 
     upstream_monitor_limits limits;
+    time_point observing_since;
     std::optional<upstream_status> newest;
     time_point status_received_at;
     time_point cold_until;
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -293,6 +293,10 @@
 void companion_flow_core::observe(time_point now)
 {
     const bool has_resumed = this->freeze.observe(now);
+    if (this->observing_since == time_point{})
+    {
+        this->monitor.on_start(now);
+    }
     if (has_resumed || this->observing_since == time_point{})
     {
         this->observing_since = now;
--- a/src/flow/upstream_monitor.cpp
+++ b/src/flow/upstream_monitor.cpp
@@ -17,6 +17,11 @@
 
 } // namespace
 
+void upstream_monitor::on_start(time_point now)
+{
+    this->observing_since = now;
+}
+
 status_outcome
 upstream_monitor::on_status(const upstream_status& status, time_point now)
 {
@@ -36,7 +41,7 @@
     if (!is_same)
     {
         this->observed_since_start =
-            is_known || status.sequence <= first_sequence;
+            this->started_under_observation(status, now);
         this->unanswered_since.reset();
     }
     this->newest = status;
@@ -48,6 +53,20 @@
     return status_outcome::accepted;
 }
 
+bool upstream_monitor::started_under_observation(
+    const upstream_status& status, time_point now) const
+{
+    if (status.sequence <= first_sequence)
+    {
+        return true;
+    }
+    // A former incarnation proves nothing: its messages may be late. One status
+    // is sent in each interval, so their number bounds the sender's age.
+    const auto intervals = static_cast<std::uint64_t>(
+        (now - this->observing_since) / this->limits.status_interval);
+    return this->newest.has_value() && status.sequence <= intervals;
+}
+
 bool upstream_monitor::on_departure(const upstream_incarnation& incarnation)
 {
     if (this->newest && this->newest->incarnation.id != incarnation.id)
--- a/tests/flow/companion_load_test.cpp
+++ b/tests/flow/companion_load_test.cpp
@@ -225,4 +225,67 @@
     BOOST_TEST(!reports.back().has_left);
 }
 
+/// What a restarted companion receives of its upstream's former incarnation
+/// before the first status of the running one.
+struct former_incarnation_case
+{
+    const char* name;
+    bool has_departure;
+    bool has_status;
+};
+
+std::ostream&
+operator<<(std::ostream& stream, const former_incarnation_case& value)
+{
+    return stream << value.name;
+}
+
+const std::vector<former_incarnation_case> former_incarnation_cases{
+    {"nothing", false, false},
+    {"a_late_departure", true, false},
+    {"a_late_status", false, true},
+    {"both", true, true}};
+
+BOOST_DATA_TEST_CASE_F(
+    companion_fixture,
+    a_former_incarnation_does_not_prove_that_the_running_one_was_observed,
+    boost::unit_test::data::make(former_incarnation_cases),
+    item)
+{
+    core.on_tick(at(0ms));
+    upstream_status former = ready_status(90);
+    former.incarnation.started = 500'000ms;
+    if (item.has_status)
+    {
+        core.on_status(at(10ms), former);
+    }
+    if (item.has_departure)
+    {
+        core.on_departure(at(20ms), former.incarnation);
+    }
+    core.on_status(at(500ms), ready_status(40));
+    core.on_message(at(600ms), entry, owner_query{test_flow(1), 1});
+    const auto answers = messages_of<owner_answer>(output.sent);
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST((answers[0].answer == ownership::uncertain));
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    an_upstream_that_starts_under_a_running_companion_is_observed,
+    companion_fixture)
+{
+    make_ready();
+    for (auto now = 250ms; now < 10'000ms; now += 250ms)
+    {
+        core.on_tick(at(now));
+    }
+    upstream_status second = ready_status(3);
+    second.incarnation.started = 2'000'000ms;
+    core.on_status(at(10'000ms), second);
+    core.on_message(at(10'001ms), entry, owner_query{test_flow(1), 1});
+    const auto answers = messages_of<owner_answer>(output.sent);
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST((answers[0].answer == ownership::absent));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
