Do not take a departure that precedes every status as the upstream's end

Cause: a companion that had seen no status accepted any departure as that of its upstream: it reported has_left and answered 'absent' for every flow. After a restart the departure may be a late one of the former incarnation. Change: a departure counts at once if its incarnation sent a status here; otherwise only when no status has come for as long as makes one overdue. Result: entries leave such a companion out of look-ups and would reset callers whose flows it holds, until the first status. New flows are refused in both cases, as before.

--- a/include/masticslip/flow/upstream_monitor.hpp
+++ b/include/masticslip/flow/upstream_monitor.hpp
@@ -76,9 +76,17 @@
         return this->observed_since_start;
     }
 
+    /// True if the upstream that sent its status here has departed.
     [[nodiscard]] bool has_departed() const
     {
-        return this->departed;
+        return this->departed && this->has_status();
+    }
+
+    /// True if a departure arrived before any status. It may be that of a
+    /// former incarnation.
+    [[nodiscard]] bool may_have_departed() const
+    {
+        return this->departed && !this->has_status();
     }
 
     /// True if the upstream does not answer packets that were sent to it.
@@ -104,6 +112,10 @@
 
 private:
     [[nodiscard]] bool is_status_overdue(time_point now) const;
+    [[nodiscard]] bool has_status() const
+    {
+        return this->status_received_at != time_point{};
+    }
     /// True if the sender of this status, the first of its incarnation, started
     /// after this process.
     [[nodiscard]] bool started_under_observation(
--- a/src/flow/companion_admission.cpp
+++ b/src/flow/companion_admission.cpp
@@ -219,8 +219,9 @@
     result.entry_count = static_cast<std::uint32_t>(this->entries.size());
     result.is_stopping = this->stopping;
     // A companion that stops after its upstream has ended does not return.
-    result.has_left = this->monitor.has_departed() ||
-                      (this->stopping && this->upstream_is_down(now));
+    result.has_left = this->upstream_is_down(now) &&
+                      (this->stopping || this->monitor.has_departed() ||
+                       this->monitor.may_have_departed());
     return result;
 }
 
--- a/src/flow/upstream_monitor.cpp
+++ b/src/flow/upstream_monitor.cpp
@@ -117,7 +117,7 @@
 
 result_code upstream_monitor::refusal(time_point now) const
 {
-    if (this->departed || (this->newest && this->newest->is_draining))
+    if (this->has_departed() || (this->newest && this->newest->is_draining))
     {
         return result_code::not_run_upstream_leaving;
     }
--- a/tests/flow/companion_load_test.cpp
+++ b/tests/flow/companion_load_test.cpp
@@ -288,4 +288,45 @@
     BOOST_TEST((answers[0].answer == ownership::absent));
 }
 
+/// A departure that arrives before any status.
+struct early_departure_case
+{
+    const char* name;
+    std::chrono::milliseconds reported_at;
+    bool has_left;
+};
+
+std::ostream&
+operator<<(std::ostream& stream, const early_departure_case& value)
+{
+    return stream << value.name;
+}
+
+const std::vector<early_departure_case> early_departure_cases{
+    {"a_later_incarnation_may_be_running", 250ms, false},
+    {"no_later_incarnation_has_sent_a_status", 3'000ms, true}};
+
+BOOST_DATA_TEST_CASE_F(
+    companion_fixture,
+    a_departure_before_any_status_may_be_that_of_a_former_incarnation,
+    boost::unit_test::data::make(early_departure_cases),
+    item)
+{
+    core.on_policy(at(0ms), test_policy(7));
+    core.on_departure(at(10ms), {"i-1", 500'000ms});
+    for (auto now = 20ms; now < item.reported_at; now += 250ms)
+    {
+        core.on_tick(at(now));
+    }
+    core.on_message(at(item.reported_at), entry, owner_query{test_flow(1), 1});
+    core.on_message(at(item.reported_at), entry, entry_hello{mark_at(7), true});
+    const auto answers = messages_of<owner_answer>(output.sent);
+    const auto reports = messages_of<companion_report>(output.sent);
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_REQUIRE(!reports.empty());
+    BOOST_TEST((answers[0].answer == ownership::absent) == item.has_left);
+    BOOST_TEST(reports.back().has_left == item.has_left);
+    BOOST_TEST((reports.back().load.refusal != result_code::done));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
