Keep an accepted flow while its caller pauses before the first request

Cause: a flow whose acceptance had passed but which no packet of the caller had confirmed was forgotten after 5 s, like an opening without an answer. The upstream holds it; the caller may just be slow to send. Change: the limit of 5 s applies to flows without an acceptance; accepted ones have the idle limit of the policy, at least 5 s. Result: the first request of a caller that paused for longer was returned, upon which the entry would look the flow up, find it absent and reset the caller. In the new test the packet after 8 s was returned before the change; now it reaches the upstream.

--- a/src/flow/companion_flows.cpp
+++ b/src/flow/companion_flows.cpp
@@ -11,7 +11,8 @@
 namespace
 {
 
-/// Idle limit of half-open and probing flows. Callers abandon an opening after
+/// Idle limit of half-open and probing flows that the upstream has not
+/// accepted; the shortest one of those it has. Callers abandon an opening after
 /// 1.4 s; a flow accepted just before may need some retransmissions to
 /// continue.
 constexpr std::chrono::seconds half_open_limit{5};
@@ -293,7 +294,9 @@
     if (flow.state == flow_state::half_open ||
         flow.state == flow_state::probing)
     {
-        limit = half_open_limit;
+        // The upstream holds an accepted flow also while the caller pauses.
+        limit = flow.accepted ? std::max<duration>(limit, half_open_limit)
+                              : duration(half_open_limit);
     }
     else if (flow.state != flow_state::open)
     {
--- a/tests/flow/companion_flow_core_test.cpp
+++ b/tests/flow/companion_flow_core_test.cpp
@@ -417,4 +417,23 @@
     BOOST_TEST((answers[0].owner == owner));
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    an_accepted_flow_survives_a_long_pause_before_its_first_request,
+    companion_fixture)
+{
+    make_ready();
+    core.on_caller_packet(at(10ms), entry, opening_packet(test_flow(1)));
+    core.on_upstream_packet(
+        at(11ms), accepting_packet(test_flow(1), upstream_sequence));
+    for (auto now = 250ms; now < 8'000ms; now += 250ms)
+    {
+        core.on_tick(at(now));
+    }
+    core.on_caller_packet(
+        at(8'000ms), entry,
+        data_packet(test_flow(1), 1'001, upstream_sequence + 1));
+    BOOST_TEST(output.to_upstream == 2U);
+    BOOST_TEST(messages_of<packet_returned>(output.sent).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
