Let an upstream's packets show that it has not ended

Cause: an upstream counted as down once its status was overdue, although its packets kept arriving. Its companion then answered 'absent' for flows it did not know, and if it stopped it reported that the upstream had left for good. Change: every packet that the upstream itself sent is a sign of life, like a status; packets that its machine bounced are none. New flows still need a status. The new test gave 'absent' and has_left before the change; now 'uncertain' and a plain stop. A crashed upstream whose machine bounces still counts as ended (second test).

--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -122,7 +122,8 @@
         return this->monitor;
     }
 
-    /// True if the upstream has departed or its status is overdue.
+    /// True if the upstream has departed, or has sent neither its status nor a
+    /// packet for as long as makes a status overdue.
     [[nodiscard]] bool upstream_is_down(time_point now) const;
 
     [[nodiscard]] std::size_t flow_count() const
--- a/include/masticslip/flow/upstream_monitor.hpp
+++ b/include/masticslip/flow/upstream_monitor.hpp
@@ -55,6 +55,9 @@
     /// The upstream sent a packet.
     void on_packet_received(time_point now);
 
+    /// The upstream sent a packet itself: not one that its machine returned.
+    void on_sign_of_life(time_point now);
+
     /// Refuses new flows until the next status, because the current one may be
     /// stale.
     void invalidate_status();
@@ -89,6 +92,12 @@
         return this->departed && !this->has_status();
     }
 
+    /// Time of the newest accepted status or packet of the upstream.
+    [[nodiscard]] time_point last_sign_of_life() const
+    {
+        return this->sign_of_life_at;
+    }
+
     /// True if the upstream does not answer packets that were sent to it.
     [[nodiscard]] bool is_silent(time_point now) const;
 
@@ -125,6 +134,7 @@
     time_point observing_since;
     std::optional<upstream_status> newest;
     time_point status_received_at;
+    time_point sign_of_life_at;
     time_point cold_until;
     std::optional<time_point> unanswered_since;
     bool status_valid = false;
--- a/src/flow/companion_flows.cpp
+++ b/src/flow/companion_flows.cpp
@@ -118,6 +118,7 @@
         this->on_bounced(now, packet);
         return;
     }
+    this->monitor.on_sign_of_life(now);
     flow_record& flow = this->flows[packet.flow];
     if (flow.created == time_point{})
     {
@@ -243,10 +244,10 @@
 
 bool companion_flow_core::upstream_is_down(time_point now) const
 {
-    const time_point last_status =
-        std::max(this->observing_since, this->monitor.last_status_at());
+    const time_point last_sign =
+        std::max(this->observing_since, this->monitor.last_sign_of_life());
     return this->monitor.has_departed() ||
-           now - last_status > this->monitor.overdue_limit();
+           now - last_sign > this->monitor.overdue_limit();
 }
 
 bool companion_flow_core::may_hold_unknown_flows(time_point now) const
--- a/src/flow/upstream_monitor.cpp
+++ b/src/flow/upstream_monitor.cpp
@@ -46,6 +46,7 @@
     }
     this->newest = status;
     this->status_received_at = now;
+    this->sign_of_life_at = now;
     this->cold_until = now + status.cold_for;
     this->departed = false;
     this->status_valid = true;
@@ -105,6 +106,11 @@
     this->unanswered_since.reset();
 }
 
+void upstream_monitor::on_sign_of_life(time_point now)
+{
+    this->sign_of_life_at = now;
+}
+
 void upstream_monitor::invalidate_status()
 {
     this->status_valid = false;
--- a/tests/flow/companion_load_test.cpp
+++ b/tests/flow/companion_load_test.cpp
@@ -329,4 +329,44 @@
     BOOST_TEST((reports.back().load.refusal != result_code::done));
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    an_upstream_that_answers_has_not_ended_when_its_status_is_overdue,
+    companion_fixture)
+{
+    core.on_policy(at(0ms), test_policy(7));
+    core.on_status(at(0ms), ready_status(9));
+    flow_packet answer =
+        data_packet(test_flow(1), upstream_sequence + 1, 1'101);
+    answer.origin = packet_origin::upstream;
+    for (auto now = 250ms; now < 5'000ms; now += 250ms)
+    {
+        core.on_upstream_packet(at(now), answer);
+        core.on_tick(at(now));
+    }
+    core.on_message(at(5'000ms), entry, owner_query{test_flow(2), 1});
+    core.on_message(at(5'000ms), entry, entry_hello{mark_at(7), true});
+    core.on_stop(at(5'000ms));
+    const auto answers = messages_of<owner_answer>(output.sent);
+    const auto reports = messages_of<companion_report>(output.sent);
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST((answers[0].answer == ownership::uncertain));
+    BOOST_TEST(!reports.back().has_left);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    packets_that_the_machine_bounces_do_not_show_that_the_upstream_lives,
+    companion_fixture)
+{
+    core.on_status(at(0ms), ready_status(9));
+    for (auto now = 250ms; now < 5'000ms; now += 250ms)
+    {
+        core.on_upstream_packet(
+            at(now), bounced(data_packet(test_flow(1), 1'101, 5'001)));
+    }
+    core.on_message(at(5'000ms), entry, owner_query{test_flow(2), 1});
+    const auto answers = messages_of<owner_answer>(output.sent);
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST((answers[0].answer == ownership::absent));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
