Keep a late opening from hiding a flow at a restarted companion

Cause: a restarted companion took an opening packet as proof of a new flow. It replaced the record of a flow that it had learned from the upstream, whose opening it could not know, and answered 'absent' for a half-open flow of which the upstream had said nothing. Change: an opening for a learned flow is forwarded and the record kept, since the upstream can tell a copy from a new flow. While the upstream may hold unknown flows, an opening without an answer is no evidence: the answer is 'uncertain', and the caller's packets probe the upstream.

--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -149,6 +149,8 @@
     {
         flow_state state = flow_state::half_open;
         bool accepted = false;
+        /// The opening packet passed through this process.
+        bool opening_seen = false;
         bool awaits_answer = false;
         /// Counts as in flight before its first request.
         bool is_reserved = false;
@@ -164,6 +166,13 @@
         std::uint32_t caller_sequence = 0;
         time_point created;
         time_point last_packet;
+
+        /// True if the flow became known by later packets than its opening.
+        [[nodiscard]] bool is_learned() const
+        {
+            return !this->opening_seen && (this->state == flow_state::open ||
+                                           this->state == flow_state::probing);
+        }
     };
 
     using flow_table = boost::unordered_flat_map<
@@ -174,6 +183,13 @@
     void on_policy_changed(time_point now);
     void
     on_opening(time_point now, instance_id entry, const flow_packet& packet);
+    /// Forwards an opening for a flow that was learned from later packets: a
+    /// late copy, or the opening of a new flow from the same port.
+    void forward_unseen_opening(
+        time_point now,
+        instance_id entry,
+        flow_record& flow,
+        const flow_packet& packet);
     result_code admission(time_point now, const flow_packet& packet);
     result_code route_admission(const flow_packet& packet) const;
     void refuse(
@@ -187,6 +203,9 @@
     return_packet(time_point now, instance_id entry, const flow_packet& packet);
     void forward_to_upstream(time_point now, const flow_packet& packet);
     static bool acknowledges(const flow_record& flow, std::uint32_t number);
+    /// Probes a half-open flow that the upstream may have held before this
+    /// process started. Returns false if it holds none that is unknown.
+    bool probe_unanswered_opening(time_point now, flow_record& flow);
     void on_caller_data(flow_record& flow, const flow_packet& packet);
     void on_bounced(time_point now, const flow_packet& packet);
     void
--- a/src/flow/companion_admission.cpp
+++ b/src/flow/companion_admission.cpp
@@ -49,6 +49,11 @@
         this->refuse(now, entry, packet, code);
         return;
     }
+    if (found != this->flows.end() && found->second.is_learned())
+    {
+        this->forward_unseen_opening(now, entry, found->second, packet);
+        return;
+    }
     if (found != this->flows.end() && !is_copy)
     {
         // The caller has reused the port.
@@ -63,6 +68,7 @@
     {
         flow.created = now;
         flow.is_reserved = true;
+        flow.opening_seen = true;
         flow.opening_sequence = packet.sequence;
         flow.caller_sequence = packet.sequence;
         this->set_awaiting_answer(flow, true);
@@ -73,6 +79,21 @@
     this->forward_to_upstream(now, packet);
 }
 
+void companion_flow_core::forward_unseen_opening(
+    time_point now,
+    instance_id entry,
+    flow_record& flow,
+    const flow_packet& packet)
+{
+    // The upstream answers either, and the entry is then told.
+    flow.accepted = false;
+    flow.entry = entry;
+    flow.last_packet = now;
+    this->cold_limit.on_admitted(now);
+    this->backoff.on_forwarded(now);
+    this->forward_to_upstream(now, packet);
+}
+
 result_code
 companion_flow_core::route_admission(const flow_packet& packet) const
 {
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -140,7 +140,8 @@
     flow_record& flow = found->second;
     const bool is_not_held = flow.state == flow_state::absent ||
                              (flow.state == flow_state::half_open &&
-                              !acknowledges(flow, packet.acknowledged));
+                              !acknowledges(flow, packet.acknowledged) &&
+                              !this->probe_unanswered_opening(now, flow));
     if (is_not_held)
     {
         this->return_packet(now, entry, packet);
--- a/src/flow/companion_flows.cpp
+++ b/src/flow/companion_flows.cpp
@@ -83,6 +83,19 @@
            ahead <= static_cast<std::int32_t>(sequence_window);
 }
 
+bool companion_flow_core::probe_unanswered_opening(
+    time_point now, flow_record& flow)
+{
+    if (flow.accepted || !this->may_hold_unknown_flows(now))
+    {
+        return false;
+    }
+    this->set_awaiting_answer(flow, false);
+    flow.is_reserved = false;
+    this->set_state(flow, flow_state::probing);
+    return true;
+}
+
 void companion_flow_core::on_caller_data(
     flow_record& flow, const flow_packet& packet)
 {
@@ -160,7 +173,11 @@
 void companion_flow_core::on_upstream_data(
     flow_record& flow, const flow_packet& packet)
 {
-    if (flow.state == flow_state::probing || flow.state == flow_state::absent)
+    const bool is_earlier_flow = flow.state == flow_state::half_open &&
+                                 !flow.accepted &&
+                                 !this->monitor.is_observed_since_start();
+    if (flow.state == flow_state::probing || flow.state == flow_state::absent ||
+        is_earlier_flow)
     {
         this->set_state(flow, flow_state::open);
         if (flow.entry.value != 0)
@@ -273,6 +290,12 @@
     switch (record.state)
     {
     case flow_state::half_open:
+        if (!record.accepted)
+        {
+            // The opening may be a late copy for a flow held since before this
+            // process started.
+            return unknown;
+        }
         return acknowledges(record, acknowledged) ? ownership::owned
                                                   : ownership::absent;
     case flow_state::open:
--- a/tests/flow/companion_flow_core_test.cpp
+++ b/tests/flow/companion_flow_core_test.cpp
@@ -436,4 +436,39 @@
     BOOST_TEST(messages_of<packet_returned>(output.sent).empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    a_late_opening_does_not_hide_a_flow_from_a_restarted_companion,
+    companion_fixture)
+{
+    core.on_policy(at(0ms), test_policy(7));
+    core.on_status(at(0ms), ready_status(40));
+    const flow_packet late = opening_packet(test_flow(1));
+    core.on_caller_packet(at(10ms), entry, late);
+    core.on_message(at(20ms), entry, owner_query{test_flow(1), 5'001});
+    core.on_caller_packet(
+        at(30ms), entry, data_packet(test_flow(1), 1'101, 5'001));
+    BOOST_TEST(messages_of<packet_returned>(output.sent).empty());
+    const auto answers = messages_of<owner_answer>(output.sent);
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST((answers[0].answer == ownership::uncertain));
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_late_opening_does_not_replace_a_flow_that_a_restarted_companion_learned,
+    companion_fixture)
+{
+    core.on_policy(at(0ms), test_policy(7));
+    core.on_status(at(0ms), ready_status(40));
+    const flow_packet packet = data_packet(test_flow(1), 1'101, 5'001);
+    core.on_caller_packet(at(10ms), entry, packet);
+    flow_packet answer = data_packet(test_flow(1), 5'001, 1'201);
+    answer.origin = packet_origin::upstream;
+    core.on_upstream_packet(at(11ms), answer);
+    core.on_caller_packet(at(20ms), entry, opening_packet(test_flow(1)));
+    core.on_message(at(30ms), entry, owner_query{test_flow(1), 5'001});
+    const auto answers = messages_of<owner_answer>(output.sent);
+    BOOST_REQUIRE(answers.size() == 2U);
+    BOOST_TEST((answers[1].answer == ownership::owned));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
