Do not deny open flows that were evicted from a crowded table

Cause: a companion whose table is half full evicts flows beyond the age limit, also those in use. It had observed its upstream from its start, so it took the missing record as proof and answered 'absent' for them. Change: after the eviction of an open flow that is not idle, the upstream may hold unknown flows for one idle limit: unknown packets probe it, which brings the flow back into the table. In the new test the evicted flow got 'absent' and its packet was returned before the change; now 'uncertain' and the packet reaches the upstream. The table evicts as before (a_half_full_companion_evicts_flows_beyond_the_age_limit).

--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -229,8 +229,12 @@
     void send_reports(time_point now);
     /// Sends a report to one refused entry for each free slot.
     void notify_waiting_entries(time_point now);
+    /// Time without packets after which a flow is removed.
+    [[nodiscard]] duration idle_limit_of(const flow_record& flow) const;
+    [[nodiscard]] bool is_idle(time_point now, const flow_record& flow) const;
+    /// True if the table is crowded and the flow beyond its age limit.
     [[nodiscard]] bool
-    is_expired(time_point now, const flow_record& flow) const;
+    is_in_excess(time_point now, const flow_record& flow) const;
     void expire_flows(time_point now);
     void expire_reservations(time_point now);
     void observe(time_point now);
@@ -283,6 +287,8 @@
     std::uint32_t open_flows = 0;
     /// Start of the process, or the end of its last freeze.
     time_point observing_since;
+    /// Until then the upstream may hold open flows that were evicted here.
+    time_point evicted_until;
     time_point next_sweep;
     time_point next_hint_sweep;
     bool stopping = false;
--- a/src/flow/companion_flows.cpp
+++ b/src/flow/companion_flows.cpp
@@ -269,8 +269,9 @@
 
 bool companion_flow_core::may_hold_unknown_flows(time_point now) const
 {
-    return !this->monitor.is_observed_since_start() &&
-           !this->upstream_is_down(now);
+    const bool knows_all =
+        this->monitor.is_observed_since_start() && now >= this->evicted_until;
+    return !knows_all && !this->upstream_is_down(now);
 }
 
 ownership companion_flow_core::ownership_of(
@@ -309,30 +310,38 @@
     return unknown;
 }
 
-bool companion_flow_core::is_expired(
-    time_point now, const flow_record& flow) const
+duration companion_flow_core::idle_limit_of(const flow_record& flow) const
 {
     const auto stated = this->current_policy().idle_limit();
-    duration limit =
+    const duration limit =
         stated.count() == 0 ? duration(default_idle_limit) : duration(stated);
-    if (flow.state == flow_state::half_open ||
-        flow.state == flow_state::probing)
+    if (flow.state == flow_state::open)
     {
-        // The upstream holds an accepted flow also while the caller pauses.
-        limit = flow.accepted ? std::max<duration>(limit, half_open_limit)
-                              : duration(half_open_limit);
+        return limit;
     }
-    else if (flow.state != flow_state::open)
+    if (flow.state != flow_state::half_open &&
+        flow.state != flow_state::probing)
     {
-        limit = ended_limit;
+        return ended_limit;
     }
-    const bool is_crowded =
-        this->flows.size() >= this->settings.max_flows / crowded_divisor;
-    const bool is_aged = now - flow.created > this->settings.flow_age_limit;
+    // The upstream holds an accepted flow also while the caller pauses.
+    return flow.accepted ? std::max<duration>(limit, half_open_limit)
+                         : duration(half_open_limit);
+}
+
+bool companion_flow_core::is_idle(time_point now, const flow_record& flow) const
+{
     // Packets that arrived while the process was suspended are still unread.
     const time_point idle_since =
         std::max(flow.last_packet, this->observing_since);
-    return now - idle_since > limit || (is_crowded && is_aged);
+    return now - idle_since > this->idle_limit_of(flow);
+}
+
+bool companion_flow_core::is_in_excess(
+    time_point now, const flow_record& flow) const
+{
+    return this->flows.size() >= this->settings.max_flows / crowded_divisor &&
+           now - flow.created > this->settings.flow_age_limit;
 }
 
 void companion_flow_core::expire_flows(time_point now)
@@ -340,16 +349,19 @@
     for (auto item = this->flows.begin(); item != this->flows.end();)
     {
         flow_record& flow = item->second;
-        if (this->is_expired(now, flow))
+        const bool idle = this->is_idle(now, flow);
+        if (!idle && !this->is_in_excess(now, flow))
         {
-            this->set_awaiting_answer(flow, false);
-            this->set_state(flow, flow_state::ended);
-            this->flows.erase(item++);
+            ++item;
+            continue;
         }
-        else
+        if (!idle && flow.state == flow_state::open)
         {
-            ++item;
+            this->evicted_until = now + this->idle_limit_of(flow);
         }
+        this->set_awaiting_answer(flow, false);
+        this->set_state(flow, flow_state::ended);
+        this->flows.erase(item++);
     }
 }
 
--- a/tests/flow/flow_limits_test.cpp
+++ b/tests/flow/flow_limits_test.cpp
@@ -142,4 +142,34 @@
     BOOST_TEST(messages_of<packet_returned>(output.sent).empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    an_evicted_flow_that_is_in_use_is_not_denied, small_companion_fixture)
+{
+    open_idle_flow(test_flow(1), at(0ms));
+    open_idle_flow(test_flow(2), at(30'000ms));
+    const flow_packet packet =
+        data_packet(test_flow(1), 1'101, upstream_sequence + 1);
+    for (auto now = 0ms; now <= 61'000ms; now += 1'000ms)
+    {
+        limited.on_caller_packet(at(now), entry, packet);
+        limited.on_caller_packet(
+            at(now), entry,
+            data_packet(test_flow(2), 1'101, upstream_sequence + 1));
+        limited.on_status(
+            at(now), ready_status(2 + static_cast<std::uint64_t>(now / 1s)));
+        limited.on_tick(at(now));
+    }
+    BOOST_REQUIRE(limited.flow_count() == 1U);
+    output.sent.clear();
+
+    limited.on_message(
+        at(61'100ms), entry, owner_query{test_flow(1), upstream_sequence + 1});
+    limited.on_caller_packet(at(61'200ms), entry, packet);
+
+    const auto answers = messages_of<owner_answer>(output.sent);
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST((answers[0].answer == ownership::uncertain));
+    BOOST_TEST(messages_of<packet_returned>(output.sent).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
