Do not deny flows because the companion's table is full

Cause: a restarted companion with a full table returned packets of unknown flows instead of probing its upstream. Entries take a returned packet as 'absent'. Change: such a packet is forwarded without a record. If the upstream answers, the flow is recorded; if it bounces, nobody is told. Result: entries would reset flows that the upstream holds for want of room at the companion. In the new test the packet beyond max_flows was returned before the change; now the upstream gets it.

--- a/src/flow/companion_flows.cpp
+++ b/src/flow/companion_flows.cpp
@@ -40,12 +40,18 @@
 void companion_flow_core::on_unknown_flow(
     time_point now, instance_id entry, const flow_packet& packet)
 {
-    const bool is_full = this->flows.size() >= this->settings.max_flows;
-    if (!this->may_hold_unknown_flows(now) || is_full)
+    if (!this->may_hold_unknown_flows(now))
     {
         this->return_packet(now, entry, packet);
         return;
     }
+    if (this->flows.size() >= this->settings.max_flows)
+    {
+        // Returning it would deny the flow. An answer of the upstream is
+        // recorded; a bounce is not passed on.
+        this->forward_to_upstream(now, packet);
+        return;
+    }
     flow_record& flow = this->flows[packet.flow];
     flow.state = flow_state::probing;
     flow.entry = entry;
--- a/tests/flow/flow_limits_test.cpp
+++ b/tests/flow/flow_limits_test.cpp
@@ -172,4 +172,19 @@
     BOOST_TEST(messages_of<packet_returned>(output.sent).empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    a_full_table_is_no_reason_to_deny_a_flow, companion_fixture)
+{
+    companion_flow_core limited(small_companion(), output, events);
+    limited.on_status(at(0ms), ready_status(40));
+    for (std::uint16_t i = 0; i <= max_table_size; ++i)
+    {
+        limited.on_caller_packet(
+            at(10ms), entry, data_packet(test_flow(i), 1'101, 5'001));
+    }
+    BOOST_TEST(limited.flow_count() == max_table_size);
+    BOOST_TEST(output.to_upstream == max_table_size + 1);
+    BOOST_TEST(messages_of<packet_returned>(output.sent).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
