Ignore late announcements of a replaced upstream on the CoAP path

Cause: any epoch other than the last one counted as a restart. A late announcement of the upstream that had been replaced therefore ended every request in progress as unknown, renewed the watches and began a cold start; the next announcement of the running upstream did the same again. Change: while the running upstream announces itself, the epoch before it is acknowledged and has no effect. It counts again once that upstream is silent. Result: callers got 5.04 for requests that the upstream was running. The new test got it before the change; now the request is done. A second test has the former epoch come back after the later one fell silent.

--- a/include/masticslip/core/companion_core.hpp
+++ b/include/masticslip/core/companion_core.hpp
@@ -19,6 +19,7 @@
 #include "masticslip/core/detail/watch_controller.hpp"
 
 #include <deque>
+#include <optional>
 
 namespace masticslip
 {
@@ -61,7 +62,8 @@
 
     /// Handles an announcement of the upstream. Returns false if it belongs
     /// to another service: it must then not be acknowledged, and that
-    /// upstream gets no packets.
+    /// upstream gets no packets. While the present upstream announces itself,
+    /// announcements of the one that it replaced are late and have no effect.
     bool
     on_announcement(time_point now, const upstream_announcement& announcement);
 
@@ -153,6 +155,8 @@
     detail::request_controller requests;
     std::deque<detail::buffered_packet> deferred;
     time_point last_announcement;
+    /// Epoch of the upstream that the present one replaced.
+    std::optional<std::uint64_t> former_epoch;
     time_point left_since;
     bool was_withdrawn = false;
 };
--- a/src/core/companion_core.cpp
+++ b/src/core/companion_core.cpp
@@ -135,8 +135,19 @@
             result_code::dropped_wrong_service);
         return false;
     }
-    const bool restarted = announcement.epoch != this->context.upstream.epoch;
     const bool was_present = this->context.upstream_present;
+    if (was_present && announcement.epoch == this->former_epoch)
+    {
+        // Late: the upstream that replaced the sender announces itself.
+        this->context.report(
+            now, event_kind::packet_dropped, {}, result_code::dropped_stale);
+        return true;
+    }
+    const bool restarted = announcement.epoch != this->context.upstream.epoch;
+    if (restarted && this->last_announcement != time_point{})
+    {
+        this->former_epoch = this->context.upstream.epoch;
+    }
     this->last_announcement = now;
     this->context.upstream = announcement;
     this->context.upstream_present = true;
--- a/tests/at_most_once_test.cpp
+++ b/tests/at_most_once_test.cpp
@@ -409,4 +409,42 @@
     BOOST_TEST((answers.front() == coap_code::gateway_timeout));
 }
 
+BOOST_AUTO_TEST_CASE(a_late_announcement_of_a_former_upstream_ends_no_request)
+{
+    virtual_options options;
+    options.companions = 1;
+    options.service_time = 200ms;
+    echo_fixture fixture(options);
+    virtual_fleet& fleet = fixture.fleet;
+    fleet.restart_upstream(0);
+    fleet.run_for(5s);
+    const std::size_t number = fleet.post(0);
+    fleet.run_for(100ms);
+    BOOST_REQUIRE(!fleet.upstream(0).active_requests.empty());
+
+    const bool accepted = fleet.companion(0)->on_announcement(
+        fleet.now(), {virtual_service, fleet.upstream(0).epoch - 1, false});
+    fleet.run_for(2s);
+
+    BOOST_TEST(accepted);
+    BOOST_TEST((fleet.requests()[number].outcome == request_outcome::done));
+}
+
+// The former process may be started again with its epoch if the later one
+// ended.
+BOOST_AUTO_TEST_CASE(an_epoch_is_accepted_again_after_the_later_one_fell_silent)
+{
+    virtual_options options;
+    options.companions = 1;
+    echo_fixture fixture(options);
+    virtual_fleet& fleet = fixture.fleet;
+    fleet.restart_upstream(0);
+    fleet.run_for(2s);
+    fleet.upstream(0).epoch -= 1;
+    fleet.run_for(8s);
+    const std::size_t number = fleet.post(0);
+    fleet.run_for(2s);
+    BOOST_TEST((fleet.requests()[number].outcome == request_outcome::done));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
