Count only the time in which a look-up can receive answers

Cause: a look-up of a flow's owner ended 60 ms after its start on the clock. If the companion itself was stalled for that long, the answers of the candidates were waiting unread; it took them as silent and created the flow anew. Change: a look-up advances with the ticks of its process, by at most 20 ms each. Result: a flow that another companion owns would be split, with its watch at one and its next request at the other. In the new test, a stall of 500 ms with the owner's answer waiting, the request went to the own upstream before the change; now it goes to the owner. Silent candidates are still given up after 60 ms.

--- a/include/masticslip/core/detail/ownership_controller.hpp
+++ b/include/masticslip/core/detail/ownership_controller.hpp
@@ -109,7 +109,8 @@
         std::vector<candidate_load> candidates;
         std::vector<instance_id> unanswered;
         time_point started;
-        time_point repeat_at;
+        /// Time for which this process has been able to receive answers.
+        duration waited{};
         bool repeated = false;
     };
 
@@ -124,6 +125,7 @@
     void
     query_additional(const flow_key& flow, look_up& state, instance_id target);
     void choose_owner(time_point now, const flow_key& flow);
+    void advance_look_ups(time_point now);
     void resolve(
         time_point now,
         const flow_key& flow,
@@ -139,6 +141,7 @@
     flow_map<redirect_record> redirects;
     std::map<flow_key, look_up> look_ups;
     std::uint32_t next_query = 1;
+    time_point last_tick;
     time_point next_expiry;
 };
 
--- a/src/core/ownership_controller.cpp
+++ b/src/core/ownership_controller.cpp
@@ -15,6 +15,9 @@
 
 constexpr duration query_repeat_after = 20ms;
 constexpr duration look_up_timeout = 60ms;
+/// Ticks that are further apart show a stall of this process, during which
+/// answers wait unread; only this much of it counts towards time-outs.
+constexpr duration longest_step = 20ms;
 constexpr duration redirect_lifetime = 10min;
 constexpr duration expiry_interval = 1s;
 constexpr std::size_t max_held_packets = 8;
@@ -143,29 +146,37 @@
 }
 
 void ownership_controller::on_tick(time_point now)
+{
+    this->advance_look_ups(now);
+    if (now >= this->next_expiry)
+    {
+        this->next_expiry = now + expiry_interval;
+        this->expire_idle(now);
+    }
+}
+
+void ownership_controller::advance_look_ups(time_point now)
 {
     std::vector<flow_key> due;
     for (auto& [flow, state] : this->look_ups)
     {
-        if (now - state.started >= look_up_timeout)
+        const time_point since = std::max(this->last_tick, state.started);
+        state.waited += std::min(now - since, longest_step);
+        if (state.waited >= look_up_timeout)
         {
             due.push_back(flow);
         }
-        else if (!state.repeated && now >= state.repeat_at)
+        else if (!state.repeated && state.waited >= query_repeat_after)
         {
             state.repeated = true;
             this->send_queries(flow, state);
         }
     }
+    this->last_tick = now;
     for (const flow_key& flow : due)
     {
         this->choose_owner(now, flow);
     }
-    if (now >= this->next_expiry)
-    {
-        this->next_expiry = now + expiry_interval;
-        this->expire_idle(now);
-    }
 }
 
 owned_flow& ownership_controller::take_ownership(
@@ -295,7 +306,6 @@
     state.query = this->next_query++;
     state.packets.emplace_back(message);
     state.started = now;
-    state.repeat_at = now + query_repeat_after;
     const instance_id self = this->context.settings.self;
     for (const instance_id id : message.candidates.view())
     {
--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -1,6 +1,7 @@
 // Flow ownership without consensus among entries, under faults.
 
 #define BOOST_TEST_MODULE ownership
+#include "support/null_outputs.hpp"
 #include "support/virtual_fleet.hpp"
 
 #include <boost/test/data/monomorphic.hpp>
@@ -64,6 +65,33 @@
     return options;
 }
 
+/// Records the internal messages of a companion and its packets to the
+/// upstream.
+class recording_output final : public null_companion_output
+{
+public:
+    void send(instance_id to, const internal_message& message) override
+    {
+        if (std::holds_alternative<flow_query>(message))
+        {
+            this->query = std::get<flow_query>(message);
+        }
+        if (std::holds_alternative<forward_message>(message))
+        {
+            this->relayed_to = to;
+        }
+    }
+
+    void send_to_upstream(byte_view) override
+    {
+        ++this->to_upstream;
+    }
+
+    flow_query query;
+    instance_id relayed_to;
+    std::size_t to_upstream = 0;
+};
+
 /// A lost notification is retransmitted after two seconds.
 constexpr duration max_notification_gap = 8s;
 
@@ -334,4 +362,42 @@
     BOOST_TEST(count_broken(fleet, 24, max_notification_gap) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(answers_that_wait_while_a_companion_is_stalled_count)
+{
+    const instance_id self{1};
+    const instance_id owner{2};
+    recording_output output;
+    null_event_sink events;
+    const libcoap_codec codec;
+    companion_settings settings;
+    settings.self = self;
+    settings.service = "meetups";
+    settings.failure_domain = "a";
+    companion_core core(settings, output, events, codec);
+    const time_point start = time_point(1h);
+    core.on_message(start, {owner, {}, 1}, config_push{small_document});
+    core.on_announcement(start, {"meetups", 1, false});
+    coap_message request;
+    request.code = coap_code::get;
+    request.add_text(coap_option_number::uri_path, "board");
+    const bytes packet = codec.encode(request);
+    forward_message message;
+    message.flow.service = make_service_id("meetups");
+    message.mode = forward_mode::look_up;
+    message.candidates.add(self);
+    message.candidates.add(owner);
+    message.payload = packet;
+    core.on_message(start, {{3}, {}, 1}, message);
+
+    core.on_tick(start + 500ms);
+    flow_query_answer answer;
+    answer.flow = message.flow;
+    answer.query = output.query.query;
+    answer.ownership_status = flow_ownership_status::owned;
+    core.on_message(start + 500ms, {owner, {}, 1}, answer);
+
+    BOOST_TEST(output.to_upstream == 0U);
+    BOOST_TEST((output.relayed_to == owner));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
