Do not reset a flow for a bounced packet of a former one

Cause: every bounced packet of an open flow counted as proof that the upstream had lost it. A late packet of a former flow from the same port bounces too: the upstream lacks that flow, not the present one. Change: a bounce counts if the packet's acknowledgement is within a window of what the upstream has sent in the present flow. Flows whose opening did not pass through this process are judged as before. Result: the caller of an open flow was reset. The new test saw the reset and 'absent' before the change; now the flow stays. A second test holds that a bounce after more than a window of answers still resets.

--- a/src/flow/companion_flows.cpp
+++ b/src/flow/companion_flows.cpp
@@ -4,6 +4,7 @@
 #include "masticslip/flow/companion_flow_core.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace masticslip
 {
@@ -35,6 +36,12 @@
     return static_cast<std::int32_t>(to - from);
 }
 
+bool is_within_window(std::uint32_t first, std::uint32_t second)
+{
+    const std::int64_t distance = sequence_distance(first, second);
+    return std::abs(distance) <= std::int64_t{sequence_window};
+}
+
 } // namespace
 
 void companion_flow_core::on_unknown_flow(
@@ -89,6 +96,18 @@
            ahead <= static_cast<std::int32_t>(sequence_window);
 }
 
+bool companion_flow_core::may_belong_to(
+    const flow_record& flow, const flow_packet& packet)
+{
+    if (!flow.opening_seen || !flow.accepted || !packet.flags.acknowledges)
+    {
+        return true;
+    }
+    // Distances of more than 2 GB wrap around, so a flow has no fixed range.
+    return is_within_window(flow.first_sequence, packet.acknowledged) ||
+           is_within_window(flow.upstream_sequence, packet.acknowledged);
+}
+
 bool companion_flow_core::probe_unanswered_opening(
     time_point now, flow_record& flow)
 {
@@ -229,6 +248,11 @@
         return;
     }
     const bool was_open = flow.state == flow_state::open;
+    if (was_open && !may_belong_to(flow, packet))
+    {
+        // The upstream lacks a former flow from the same port.
+        return;
+    }
     this->set_awaiting_answer(flow, false);
     this->set_state(flow, was_open ? flow_state::ended : flow_state::absent);
     if (was_open)
--- a/tests/flow/companion_load_test.cpp
+++ b/tests/flow/companion_load_test.cpp
@@ -369,4 +369,34 @@
     BOOST_TEST((answers[0].answer == ownership::absent));
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    a_bounced_packet_of_a_former_flow_does_not_end_the_present_one,
+    companion_fixture)
+{
+    make_ready();
+    open(test_flow(1), at(10ms));
+    const flow_packet late = data_packet(test_flow(1), 700, 900'000);
+    core.on_caller_packet(at(20ms), entry, late);
+    core.on_upstream_packet(at(21ms), bounced(late));
+    core.on_message(at(30ms), entry, owner_query{test_flow(1), 5'001});
+    const auto answers = messages_of<owner_answer>(output.sent);
+    BOOST_TEST(output.resets.empty());
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST((answers[0].answer == ownership::owned));
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_bounce_ends_a_flow_that_has_received_more_than_a_window,
+    companion_fixture)
+{
+    make_ready();
+    open(test_flow(1), at(10ms));
+    flow_packet answer = data_packet(test_flow(1), 1'000'000, 1'101);
+    answer.origin = packet_origin::upstream;
+    core.on_upstream_packet(at(20ms), answer);
+    core.on_upstream_packet(
+        at(30ms), bounced(data_packet(test_flow(1), 1'101, 1'000'100)));
+    BOOST_TEST(output.resets.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
