Keep a late status from undoing its upstream's departure

Cause: a departure of a later incarnation than the one known marked the known one as departed. The first status of the departed incarnation, arriving late, then looked like a start and ended the departure. Change: the monitor keeps the start time of the incarnation that departed. Result: an upstream that had left received new flows until its status was overdue. The new test forwarded an opening before the change; now it is refused.

--- a/src/flow/upstream_monitor.cpp
+++ b/src/flow/upstream_monitor.cpp
@@ -1,5 +1,7 @@
 #include "masticslip/flow/upstream_monitor.hpp"
 
+#include <algorithm>
+
 namespace masticslip
 {
 
@@ -82,8 +84,11 @@
     if (!this->newest)
     {
         this->newest.emplace();
-        this->newest->incarnation = incarnation;
+        this->newest->incarnation.id = incarnation.id;
     }
+    // Its statuses may be late; zero if the departure does not say.
+    this->newest->incarnation.started =
+        std::max(this->newest->incarnation.started, incarnation.started);
     this->departed = true;
     return true;
 }
--- a/tests/flow/companion_load_test.cpp
+++ b/tests/flow/companion_load_test.cpp
@@ -399,4 +399,19 @@
     BOOST_TEST(output.resets.size() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    a_late_status_does_not_undo_the_departure_of_its_incarnation,
+    companion_fixture)
+{
+    make_ready();
+    upstream_status late = ready_status(1);
+    late.incarnation.started = 2'000'000ms;
+    BOOST_TEST(core.on_departure(at(10ms), late.incarnation));
+
+    BOOST_TEST(!core.on_status(at(20ms), late));
+
+    core.on_caller_packet(at(30ms), entry, opening_packet(test_flow(1)));
+    BOOST_TEST(output.to_upstream == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
