--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -122,7 +122,8 @@
         return this->monitor;
     }
 
-    /// True if the upstream has departed or its status is overdue.
+    /// True if the upstream has departed, or has sent neither its status nor a
+    /// packet for as long as makes a status overdue.
     [[nodiscard]] bool upstream_is_down(time_point now) const;
 
     [[nodiscard]] std::size_t flow_count() const
@@ -148,6 +149,8 @@
     {
         flow_state state = flow_state::half_open;
         bool accepted = false;
+        /// The opening packet passed through this process.
+        bool opening_seen = false;
         bool awaits_answer = false;
         /// Counts as in flight before its first request.
         bool is_reserved = false;
@@ -163,6 +166,13 @@
         std::uint32_t caller_sequence = 0;
         time_point created;
         time_point last_packet;
+
+        /// True if the flow became known by later packets than its opening.
+        [[nodiscard]] bool is_learned() const
+        {
+            return !this->opening_seen && (this->state == flow_state::open ||
+                                           this->state == flow_state::probing);
+        }
     };
 
     using flow_table = boost::unordered_flat_map<
@@ -173,6 +183,13 @@
     void on_policy_changed(time_point now);
     void
     on_opening(time_point now, instance_id entry, const flow_packet& packet);
+    /// Forwards an opening for a flow that was learned from later packets: a
+    /// late copy, or the opening of a new flow from the same port.
+    void forward_unseen_opening(
+        time_point now,
+        instance_id entry,
+        flow_record& flow,
+        const flow_packet& packet);
     result_code admission(time_point now, const flow_packet& packet);
     result_code route_admission(const flow_packet& packet) const;
     void refuse(
@@ -186,6 +203,13 @@
     return_packet(time_point now, instance_id entry, const flow_packet& packet);
     void forward_to_upstream(time_point now, const flow_packet& packet);
     static bool acknowledges(const flow_record& flow, std::uint32_t number);
+    /// True unless the acknowledgement shows that a caller's packet belongs to
+    /// a former flow between the same endpoints.
+    static bool
+    may_belong_to(const flow_record& flow, const flow_packet& packet);
+    /// Probes a half-open flow that the upstream may have held before this
+    /// process started. Returns false if it holds none that is unknown.
+    bool probe_unanswered_opening(time_point now, flow_record& flow);
     void on_caller_data(flow_record& flow, const flow_packet& packet);
     void on_bounced(time_point now, const flow_packet& packet);
     void
@@ -211,8 +235,12 @@
     void send_reports(time_point now);
     /// Sends a report to one refused entry for each free slot.
     void notify_waiting_entries(time_point now);
+    /// Time without packets after which a flow is removed.
+    [[nodiscard]] duration idle_limit_of(const flow_record& flow) const;
+    [[nodiscard]] bool is_idle(time_point now, const flow_record& flow) const;
+    /// True if the table is crowded and the flow beyond its age limit.
     [[nodiscard]] bool
-    is_expired(time_point now, const flow_record& flow) const;
+    is_in_excess(time_point now, const flow_record& flow) const;
     void expire_flows(time_point now);
     void expire_reservations(time_point now);
     void observe(time_point now);
@@ -269,6 +297,8 @@
     std::uint32_t open_flows = 0;
     /// Start of the process, or the end of its last freeze.
     time_point observing_since;
+    /// Until then the upstream may hold open flows that were evicted here.
+    time_point evicted_until;
     time_point next_sweep;
     time_point next_hint_sweep;
     bool stopping = false;
--- a/include/masticslip/flow/upstream_monitor.hpp
+++ b/include/masticslip/flow/upstream_monitor.hpp
@@ -39,6 +39,9 @@
     {
     }
 
+    /// This process starts to observe the upstream; call once, first.
+    void on_start(time_point now);
+
     /// Processes a status of the upstream.
     status_outcome on_status(const upstream_status& status, time_point now);
 
@@ -52,6 +55,9 @@
     /// The upstream sent a packet.
     void on_packet_received(time_point now);
 
+    /// The upstream sent a packet itself: not one that its machine returned.
+    void on_sign_of_life(time_point now);
+
     /// Refuses new flows until the next status, because the current one may be
     /// stale.
     void invalidate_status();
@@ -73,9 +79,23 @@
         return this->observed_since_start;
     }
 
+    /// True if the upstream that sent its status here has departed.
     [[nodiscard]] bool has_departed() const
     {
-        return this->departed;
+        return this->departed && this->has_status();
+    }
+
+    /// True if a departure arrived before any status. It may be that of a
+    /// former incarnation.
+    [[nodiscard]] bool may_have_departed() const
+    {
+        return this->departed && !this->has_status();
+    }
+
+    /// Time of the newest accepted status or packet of the upstream.
+    [[nodiscard]] time_point last_sign_of_life() const
+    {
+        return this->sign_of_life_at;
     }
 
     /// True if the upstream does not answer packets that were sent to it.
@@ -101,10 +121,20 @@
 
 private:
     [[nodiscard]] bool is_status_overdue(time_point now) const;
+    [[nodiscard]] bool has_status() const
+    {
+        return this->status_received_at != time_point{};
+    }
+    /// True if the sender of this status, the first of its incarnation, started
+    /// after this process.
+    [[nodiscard]] bool started_under_observation(
+        const upstream_status& status, time_point now) const;
 
     upstream_monitor_limits limits;
+    time_point observing_since;
     std::optional<upstream_status> newest;
     time_point status_received_at;
+    time_point sign_of_life_at;
     time_point cold_until;
     std::optional<time_point> unanswered_since;
     bool status_valid = false;
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -140,7 +140,8 @@
     flow_record& flow = found->second;
     const bool is_not_held = flow.state == flow_state::absent ||
                              (flow.state == flow_state::half_open &&
-                              !acknowledges(flow, packet.acknowledged));
+                              !acknowledges(flow, packet.acknowledged) &&
+                              !this->probe_unanswered_opening(now, flow));
     if (is_not_held)
     {
         this->return_packet(now, entry, packet);
@@ -290,6 +291,7 @@
 
 void companion_flow_core::on_stop(time_point now)
 {
+    this->observe(now);
     this->stopping = true;
     this->send_reports(now);
 }
@@ -297,6 +299,10 @@
 void companion_flow_core::observe(time_point now)
 {
     const bool has_resumed = this->freeze.observe(now);
+    if (this->observing_since == time_point{})
+    {
+        this->monitor.on_start(now);
+    }
     if (has_resumed || this->observing_since == time_point{})
     {
         this->observing_since = now;
--- a/src/flow/companion_flows.cpp
+++ b/src/flow/companion_flows.cpp
@@ -4,6 +4,7 @@
 #include "masticslip/flow/companion_flow_core.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace masticslip
 {
@@ -11,7 +12,8 @@
 namespace
 {
 
-/// Idle limit of half-open and probing flows. Callers abandon an opening after
+/// Idle limit of half-open and probing flows that the upstream has not
+/// accepted; the shortest one of those it has. Callers abandon an opening after
 /// 1.4 s; a flow accepted just before may need some retransmissions to
 /// continue.
 constexpr std::chrono::seconds half_open_limit{5};
@@ -34,17 +36,29 @@
     return static_cast<std::int32_t>(to - from);
 }
 
+bool is_within_window(std::uint32_t first, std::uint32_t second)
+{
+    const std::int64_t distance = sequence_distance(first, second);
+    return std::abs(distance) <= std::int64_t{sequence_window};
+}
+
 } // namespace
 
 void companion_flow_core::on_unknown_flow(
     time_point now, instance_id entry, const flow_packet& packet)
 {
-    const bool is_full = this->flows.size() >= this->settings.max_flows;
-    if (!this->may_hold_unknown_flows(now) || is_full)
+    if (!this->may_hold_unknown_flows(now))
     {
         this->return_packet(now, entry, packet);
         return;
     }
+    if (this->flows.size() >= this->settings.max_flows)
+    {
+        // Returning it would deny the flow. An answer of the upstream is
+        // recorded; a bounce is not passed on.
+        this->forward_to_upstream(now, packet);
+        return;
+    }
     flow_record& flow = this->flows[packet.flow];
     flow.state = flow_state::probing;
     flow.entry = entry;
@@ -82,6 +96,31 @@
            ahead <= static_cast<std::int32_t>(sequence_window);
 }
 
+bool companion_flow_core::may_belong_to(
+    const flow_record& flow, const flow_packet& packet)
+{
+    if (!flow.opening_seen || !flow.accepted || !packet.flags.acknowledges)
+    {
+        return true;
+    }
+    // Distances of more than 2 GB wrap around, so a flow has no fixed range.
+    return is_within_window(flow.first_sequence, packet.acknowledged) ||
+           is_within_window(flow.upstream_sequence, packet.acknowledged);
+}
+
+bool companion_flow_core::probe_unanswered_opening(
+    time_point now, flow_record& flow)
+{
+    if (flow.accepted || !this->may_hold_unknown_flows(now))
+    {
+        return false;
+    }
+    this->set_awaiting_answer(flow, false);
+    flow.is_reserved = false;
+    this->set_state(flow, flow_state::probing);
+    return true;
+}
+
 void companion_flow_core::on_caller_data(
     flow_record& flow, const flow_packet& packet)
 {
@@ -117,6 +156,7 @@
         this->on_bounced(now, packet);
         return;
     }
+    this->monitor.on_sign_of_life(now);
     flow_record& flow = this->flows[packet.flow];
     if (flow.created == time_point{})
     {
@@ -158,7 +198,11 @@
 void companion_flow_core::on_upstream_data(
     flow_record& flow, const flow_packet& packet)
 {
-    if (flow.state == flow_state::probing || flow.state == flow_state::absent)
+    const bool is_earlier_flow = flow.state == flow_state::half_open &&
+                                 !flow.accepted &&
+                                 !this->monitor.is_observed_since_start();
+    if (flow.state == flow_state::probing || flow.state == flow_state::absent ||
+        is_earlier_flow)
     {
         this->set_state(flow, flow_state::open);
         if (flow.entry.value != 0)
@@ -204,6 +248,11 @@
         return;
     }
     const bool was_open = flow.state == flow_state::open;
+    if (was_open && !may_belong_to(flow, packet))
+    {
+        // The upstream lacks a former flow from the same port.
+        return;
+    }
     this->set_awaiting_answer(flow, false);
     this->set_state(flow, was_open ? flow_state::ended : flow_state::absent);
     if (was_open)
@@ -242,16 +291,17 @@
 
 bool companion_flow_core::upstream_is_down(time_point now) const
 {
-    const time_point last_status =
-        std::max(this->observing_since, this->monitor.last_status_at());
+    const time_point last_sign =
+        std::max(this->observing_since, this->monitor.last_sign_of_life());
     return this->monitor.has_departed() ||
-           now - last_status > this->monitor.overdue_limit();
+           now - last_sign > this->monitor.overdue_limit();
 }
 
 bool companion_flow_core::may_hold_unknown_flows(time_point now) const
 {
-    return !this->monitor.is_observed_since_start() &&
-           !this->upstream_is_down(now);
+    const bool knows_all =
+        this->monitor.is_observed_since_start() && now >= this->evicted_until;
+    return !knows_all && !this->upstream_is_down(now);
 }
 
 ownership companion_flow_core::ownership_of(
@@ -271,6 +321,12 @@
     switch (record.state)
     {
     case flow_state::half_open:
+        if (!record.accepted)
+        {
+            // The opening may be a late copy for a flow held since before this
+            // process started.
+            return unknown;
+        }
         return acknowledges(record, acknowledged) ? ownership::owned
                                                   : ownership::absent;
     case flow_state::open:
@@ -284,25 +340,38 @@
     return unknown;
 }
 
-bool companion_flow_core::is_expired(
-    time_point now, const flow_record& flow) const
+duration companion_flow_core::idle_limit_of(const flow_record& flow) const
 {
     const auto stated = this->current_policy().idle_limit();
-    duration limit =
+    const duration limit =
         stated.count() == 0 ? duration(default_idle_limit) : duration(stated);
-    if (flow.state == flow_state::half_open ||
-        flow.state == flow_state::probing)
+    if (flow.state == flow_state::open)
     {
-        limit = half_open_limit;
+        return limit;
     }
-    else if (flow.state != flow_state::open)
+    if (flow.state != flow_state::half_open &&
+        flow.state != flow_state::probing)
     {
-        limit = ended_limit;
+        return ended_limit;
     }
-    const bool is_crowded =
-        this->flows.size() >= this->settings.max_flows / crowded_divisor;
-    const bool is_aged = now - flow.created > this->settings.flow_age_limit;
-    return now - flow.last_packet > limit || (is_crowded && is_aged);
+    // The upstream holds an accepted flow also while the caller pauses.
+    return flow.accepted ? std::max<duration>(limit, half_open_limit)
+                         : duration(half_open_limit);
+}
+
+bool companion_flow_core::is_idle(time_point now, const flow_record& flow) const
+{
+    // Packets that arrived while the process was suspended are still unread.
+    const time_point idle_since =
+        std::max(flow.last_packet, this->observing_since);
+    return now - idle_since > this->idle_limit_of(flow);
+}
+
+bool companion_flow_core::is_in_excess(
+    time_point now, const flow_record& flow) const
+{
+    return this->flows.size() >= this->settings.max_flows / crowded_divisor &&
+           now - flow.created > this->settings.flow_age_limit;
 }
 
 void companion_flow_core::expire_flows(time_point now)
@@ -310,16 +379,19 @@
     for (auto item = this->flows.begin(); item != this->flows.end();)
     {
         flow_record& flow = item->second;
-        if (this->is_expired(now, flow))
+        const bool idle = this->is_idle(now, flow);
+        if (!idle && !this->is_in_excess(now, flow))
         {
-            this->set_awaiting_answer(flow, false);
-            this->set_state(flow, flow_state::ended);
-            this->flows.erase(item++);
+            ++item;
+            continue;
         }
-        else
+        if (!idle && flow.state == flow_state::open)
         {
-            ++item;
+            this->evicted_until = now + this->idle_limit_of(flow);
         }
+        this->set_awaiting_answer(flow, false);
+        this->set_state(flow, flow_state::ended);
+        this->flows.erase(item++);
     }
 }
 
--- a/src/flow/upstream_monitor.cpp
+++ b/src/flow/upstream_monitor.cpp
@@ -1,5 +1,7 @@
 #include "masticslip/flow/upstream_monitor.hpp"
 
+#include <algorithm>
+
 namespace masticslip
 {
 
@@ -17,6 +19,11 @@
 
 } // namespace
 
+void upstream_monitor::on_start(time_point now)
+{
+    this->observing_since = now;
+}
+
 status_outcome
 upstream_monitor::on_status(const upstream_status& status, time_point now)
 {
@@ -36,11 +43,12 @@
     if (!is_same)
     {
         this->observed_since_start =
-            is_known || status.sequence <= first_sequence;
+            this->started_under_observation(status, now);
         this->unanswered_since.reset();
     }
     this->newest = status;
     this->status_received_at = now;
+    this->sign_of_life_at = now;
     this->cold_until = now + status.cold_for;
     this->departed = false;
     this->status_valid = true;
@@ -48,6 +56,20 @@
     return status_outcome::accepted;
 }
 
+bool upstream_monitor::started_under_observation(
+    const upstream_status& status, time_point now) const
+{
+    if (status.sequence <= first_sequence)
+    {
+        return true;
+    }
+    // A former incarnation proves nothing: its messages may be late. One status
+    // is sent in each interval, so their number bounds the sender's age.
+    const auto intervals = static_cast<std::uint64_t>(
+        (now - this->observing_since) / this->limits.status_interval);
+    return this->newest.has_value() && status.sequence <= intervals;
+}
+
 bool upstream_monitor::on_departure(const upstream_incarnation& incarnation)
 {
     if (this->newest && this->newest->incarnation.id != incarnation.id)
@@ -62,8 +84,11 @@
     if (!this->newest)
     {
         this->newest.emplace();
-        this->newest->incarnation = incarnation;
+        this->newest->incarnation.id = incarnation.id;
     }
+    // Its statuses may be late; zero if the departure does not say.
+    this->newest->incarnation.started =
+        std::max(this->newest->incarnation.started, incarnation.started);
     this->departed = true;
     return true;
 }
@@ -86,6 +111,11 @@
     this->unanswered_since.reset();
 }
 
+void upstream_monitor::on_sign_of_life(time_point now)
+{
+    this->sign_of_life_at = now;
+}
+
 void upstream_monitor::invalidate_status()
 {
     this->status_valid = false;
@@ -98,7 +128,7 @@
 
 result_code upstream_monitor::refusal(time_point now) const
 {
-    if (this->departed || (this->newest && this->newest->is_draining))
+    if (this->has_departed() || (this->newest && this->newest->is_draining))
     {
         return result_code::not_run_upstream_leaving;
     }
--- a/tests/flow/companion_load_test.cpp
+++ b/tests/flow/companion_load_test.cpp
@@ -212,4 +212,206 @@
     BOOST_TEST(reports.back().has_left == item.has_left);
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    a_resumed_companion_that_stops_does_not_say_that_its_upstream_has_ended,
+    companion_fixture)
+{
+    make_ready();
+    core.on_message(at(0ms), entry, entry_hello{mark_at(7), true});
+    core.on_stop(at(5'000ms));
+    const auto reports = messages_of<companion_report>(output.sent);
+    BOOST_REQUIRE(!reports.empty());
+    BOOST_TEST(reports.back().is_stopping);
+    BOOST_TEST(!reports.back().has_left);
+}
+
+/// What a restarted companion receives of its upstream's former incarnation
+/// before the first status of the running one.
+struct former_incarnation_case
+{
+    const char* name;
+    bool has_departure;
+    bool has_status;
+};
+
+std::ostream&
+operator<<(std::ostream& stream, const former_incarnation_case& value)
+{
+    return stream << value.name;
+}
+
+const std::vector<former_incarnation_case> former_incarnation_cases{
+    {"nothing", false, false},
+    {"a_late_departure", true, false},
+    {"a_late_status", false, true},
+    {"both", true, true}};
+
+BOOST_DATA_TEST_CASE_F(
+    companion_fixture,
+    a_former_incarnation_does_not_prove_that_the_running_one_was_observed,
+    boost::unit_test::data::make(former_incarnation_cases),
+    item)
+{
+    core.on_tick(at(0ms));
+    upstream_status former = ready_status(90);
+    former.incarnation.started = 500'000ms;
+    if (item.has_status)
+    {
+        core.on_status(at(10ms), former);
+    }
+    if (item.has_departure)
+    {
+        core.on_departure(at(20ms), former.incarnation);
+    }
+    core.on_status(at(500ms), ready_status(40));
+    core.on_message(at(600ms), entry, owner_query{test_flow(1), 1});
+    const auto answers = messages_of<owner_answer>(output.sent);
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST((answers[0].answer == ownership::uncertain));
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    an_upstream_that_starts_under_a_running_companion_is_observed,
+    companion_fixture)
+{
+    make_ready();
+    for (auto now = 250ms; now < 10'000ms; now += 250ms)
+    {
+        core.on_tick(at(now));
+    }
+    upstream_status second = ready_status(3);
+    second.incarnation.started = 2'000'000ms;
+    core.on_status(at(10'000ms), second);
+    core.on_message(at(10'001ms), entry, owner_query{test_flow(1), 1});
+    const auto answers = messages_of<owner_answer>(output.sent);
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST((answers[0].answer == ownership::absent));
+}
+
+/// A departure that arrives before any status.
+struct early_departure_case
+{
+    const char* name;
+    std::chrono::milliseconds reported_at;
+    bool has_left;
+};
+
+std::ostream&
+operator<<(std::ostream& stream, const early_departure_case& value)
+{
+    return stream << value.name;
+}
+
+const std::vector<early_departure_case> early_departure_cases{
+    {"a_later_incarnation_may_be_running", 250ms, false},
+    {"no_later_incarnation_has_sent_a_status", 3'000ms, true}};
+
+BOOST_DATA_TEST_CASE_F(
+    companion_fixture,
+    a_departure_before_any_status_may_be_that_of_a_former_incarnation,
+    boost::unit_test::data::make(early_departure_cases),
+    item)
+{
+    core.on_policy(at(0ms), test_policy(7));
+    core.on_departure(at(10ms), {"i-1", 500'000ms});
+    for (auto now = 20ms; now < item.reported_at; now += 250ms)
+    {
+        core.on_tick(at(now));
+    }
+    core.on_message(at(item.reported_at), entry, owner_query{test_flow(1), 1});
+    core.on_message(at(item.reported_at), entry, entry_hello{mark_at(7), true});
+    const auto answers = messages_of<owner_answer>(output.sent);
+    const auto reports = messages_of<companion_report>(output.sent);
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_REQUIRE(!reports.empty());
+    BOOST_TEST((answers[0].answer == ownership::absent) == item.has_left);
+    BOOST_TEST(reports.back().has_left == item.has_left);
+    BOOST_TEST((reports.back().load.refusal != result_code::done));
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    an_upstream_that_answers_has_not_ended_when_its_status_is_overdue,
+    companion_fixture)
+{
+    core.on_policy(at(0ms), test_policy(7));
+    core.on_status(at(0ms), ready_status(9));
+    flow_packet answer =
+        data_packet(test_flow(1), upstream_sequence + 1, 1'101);
+    answer.origin = packet_origin::upstream;
+    for (auto now = 250ms; now < 5'000ms; now += 250ms)
+    {
+        core.on_upstream_packet(at(now), answer);
+        core.on_tick(at(now));
+    }
+    core.on_message(at(5'000ms), entry, owner_query{test_flow(2), 1});
+    core.on_message(at(5'000ms), entry, entry_hello{mark_at(7), true});
+    core.on_stop(at(5'000ms));
+    const auto answers = messages_of<owner_answer>(output.sent);
+    const auto reports = messages_of<companion_report>(output.sent);
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST((answers[0].answer == ownership::uncertain));
+    BOOST_TEST(!reports.back().has_left);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    packets_that_the_machine_bounces_do_not_show_that_the_upstream_lives,
+    companion_fixture)
+{
+    core.on_status(at(0ms), ready_status(9));
+    for (auto now = 250ms; now < 5'000ms; now += 250ms)
+    {
+        core.on_upstream_packet(
+            at(now), bounced(data_packet(test_flow(1), 1'101, 5'001)));
+    }
+    core.on_message(at(5'000ms), entry, owner_query{test_flow(2), 1});
+    const auto answers = messages_of<owner_answer>(output.sent);
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST((answers[0].answer == ownership::absent));
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_bounced_packet_of_a_former_flow_does_not_end_the_present_one,
+    companion_fixture)
+{
+    make_ready();
+    open(test_flow(1), at(10ms));
+    const flow_packet late = data_packet(test_flow(1), 700, 900'000);
+    core.on_caller_packet(at(20ms), entry, late);
+    core.on_upstream_packet(at(21ms), bounced(late));
+    core.on_message(at(30ms), entry, owner_query{test_flow(1), 5'001});
+    const auto answers = messages_of<owner_answer>(output.sent);
+    BOOST_TEST(output.resets.empty());
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST((answers[0].answer == ownership::owned));
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_bounce_ends_a_flow_that_has_received_more_than_a_window,
+    companion_fixture)
+{
+    make_ready();
+    open(test_flow(1), at(10ms));
+    flow_packet answer = data_packet(test_flow(1), 1'000'000, 1'101);
+    answer.origin = packet_origin::upstream;
+    core.on_upstream_packet(at(20ms), answer);
+    core.on_upstream_packet(
+        at(30ms), bounced(data_packet(test_flow(1), 1'101, 1'000'100)));
+    BOOST_TEST(output.resets.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_late_status_does_not_undo_the_departure_of_its_incarnation,
+    companion_fixture)
+{
+    make_ready();
+    upstream_status late = ready_status(1);
+    late.incarnation.started = 2'000'000ms;
+    BOOST_TEST(core.on_departure(at(10ms), late.incarnation));
+
+    BOOST_TEST(!core.on_status(at(20ms), late));
+
+    core.on_caller_packet(at(30ms), entry, opening_packet(test_flow(1)));
+    BOOST_TEST(output.to_upstream == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
