Name audit records that a restored store lost

Change: audit verify asks the processes which changes they had in force, then reads the chain and names those that it lacks or holds another change for, and who remembers them: config_records_lost (407), exit 9. Histories in status reports carry the change id, so a chain that has grown past the loss is seen too. If no process answers, it says that this cannot be seen. The stand-in store can be copied and restored. The audit commands have a file of their own. Not seen: what no running process remembers any more.

--- a/include/masticslip/core/result_code.hpp
+++ b/include/masticslip/core/result_code.hpp
@@ -44,6 +44,7 @@
     config_store_unavailable = 404,
     config_not_in_force = 405,
     config_not_found = 406,
+    config_records_lost = 407,
     // A packet or message was dropped.
     dropped_malformed = 501,
     dropped_unauthentic = 502,
@@ -62,7 +63,7 @@
 };
 
 /// All codes in ascending order.
-extern const std::array<result_code_entry, 33> result_code_table;
+extern const std::array<result_code_entry, 34> result_code_table;
 
 /// Returns the stable name of a code.
 std::string_view to_string(result_code code);
--- a/src/cli/command_context.cpp
+++ b/src/cli/command_context.cpp
@@ -22,6 +22,8 @@
         return cli_exit::not_in_force;
     case result_code::config_not_found:
         return cli_exit::not_found;
+    case result_code::config_records_lost:
+        return cli_exit::records_lost;
     default:
         return cli_exit::failure;
     }
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -1,5 +1,6 @@
 #include "commands.hpp"
 
+#include "audit_commands.hpp"
 #include "change_commands.hpp"
 #include "report_commands.hpp"
 #include "story_commands.hpp"
--- a/src/cli/commands.hpp
+++ b/src/cli/commands.hpp
@@ -19,7 +19,8 @@
     store_unavailable = 5,
     undecided = 6,
     not_in_force = 7,
-    not_found = 8
+    not_found = 8,
+    records_lost = 9
 };
 
 /// Runs one command. Results go to `out`, errors and progress to `errors`.
--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -93,6 +93,25 @@
     }
 }
 
+std::vector<json::object> fleet::companion_reports(const std::string& target)
+{
+    std::vector<json::object> result;
+    for (const auto& [id, member] : this->known_members)
+    {
+        const bool is_present_companion =
+            member.role == "companion" && member.state != "left";
+        if (!is_present_companion)
+        {
+            continue;
+        }
+        if (const auto report = this->get(member.admin, target))
+        {
+            result.push_back(*report);
+        }
+    }
+    return result;
+}
+
 std::vector<fleet_member> fleet::members_behind(generation number) const
 {
     std::vector<fleet_member> result;
--- a/src/cli/fleet.hpp
+++ b/src/cli/fleet.hpp
@@ -52,6 +52,11 @@
         return this->status_reports;
     }
 
+    /// Fetches `/status` or `/flows` from all companions that have not left;
+    /// one that does not answer is passed over.
+    std::vector<boost::json::object>
+    companion_reports(const std::string& target);
+
     /// Members that have not left and whose generation is older than `number`.
     [[nodiscard]] std::vector<fleet_member>
     members_behind(generation number) const;
--- a/src/cli/report_commands.cpp
+++ b/src/cli/report_commands.cpp
@@ -4,7 +4,6 @@
 
 #include <boost/json.hpp>
 
-#include <algorithm>
 #include <fstream>
 #include <iomanip>
 #include <iterator>
@@ -39,27 +38,6 @@
     return result;
 }
 
-/// Fetches `/status` or `/flows` from all companions that have not left.
-std::vector<json::object>
-query_companions(fleet& instances, const std::string& target)
-{
-    std::vector<json::object> result;
-    for (const auto& [id, member] : instances.members())
-    {
-        const bool is_present_companion =
-            member.role == "companion" && member.state != "left";
-        if (!is_present_companion)
-        {
-            continue;
-        }
-        if (const auto report = instances.get(member.admin, target))
-        {
-            result.push_back(*report);
-        }
-    }
-    return result;
-}
-
 std::string text_of(const json::object& object, std::string_view key)
 {
     const auto* value = object.if_contains(key);
@@ -95,99 +73,6 @@
     context.out << '\n';
 }
 
-/// Wall-clock time at which this generation or a newer one came into force at
-/// an instance, by the oldest such entry of its history, in microseconds; zero
-/// if the history has none.
-std::int64_t in_force_since(const json::object& report, generation number)
-{
-    const auto* history = report.if_contains("history");
-    if (history == nullptr || !history->is_array())
-    {
-        return 0;
-    }
-    for (const auto& value : history->get_array())
-    {
-        const auto& item = value.as_object();
-        if (item.at("generation").to_number<generation>() >= number)
-        {
-            return item.at("since_us").to_number<std::int64_t>();
-        }
-    }
-    return 0;
-}
-
-struct in_force_summary
-{
-    std::size_t instances = 0;
-    std::int64_t last_us = 0;
-};
-
-in_force_summary
-summarize(const std::vector<json::object>& reports, generation number)
-{
-    in_force_summary result;
-    for (const auto& report : reports)
-    {
-        const std::int64_t since = in_force_since(report, number);
-        result.instances += since > 0 ? 1 : 0;
-        result.last_us = std::max(result.last_us, since);
-    }
-    return result;
-}
-
-std::optional<std::vector<std::string>>
-read_audit_texts(const command_context& context, cli_exit& exit)
-{
-    if (!require_store(context))
-    {
-        exit = cli_exit::usage;
-        return std::nullopt;
-    }
-    failure_reason reason;
-    auto result = with_store(
-        context, [&](config_store& store) { return store.read_audit(reason); });
-    if (!result)
-    {
-        exit = report_failure(context, reason);
-    }
-    return result;
-}
-
-json::object
-audit_to_json(const audit_record& record, const in_force_summary& summary)
-{
-    return {
-        {"generation", record.number},
-        {"change_id", record.change_id},
-        {"operator", record.operator_name},
-        {"reason", record.reason},
-        {"accepted_at_us", record.requested_at},
-        {"differences", to_array(record.differences)},
-        {"in_force_instances", summary.instances},
-        {"in_force_last_us", summary.last_us}};
-}
-
-void print_audit(
-    const command_context& context,
-    const audit_record& record,
-    const in_force_summary& summary)
-{
-    context.out << "generation " << record.number << "  " << record.change_id
-                << "  by " << record.operator_name << ": " << record.reason
-                << '\n';
-    for (const auto& line : record.differences)
-    {
-        context.out << "  " << line << '\n';
-    }
-    if (summary.instances > 0)
-    {
-        context.out << "  in force at " << summary.instances
-                    << " instances, the last one "
-                    << (summary.last_us - record.requested_at) / 1000
-                    << " ms after the change was requested\n";
-    }
-}
-
 } // namespace
 
 cli_exit show_configuration(const command_context& context)
@@ -338,7 +223,7 @@
     {
         return cli_exit::failure;
     }
-    const auto reports = query_companions(*instances, "/status");
+    const auto reports = instances->companion_reports("/status");
     if (context.settings.json)
     {
         json::array items(reports.begin(), reports.end());
@@ -372,7 +257,7 @@
     {
         return cli_exit::failure;
     }
-    const auto reports = query_companions(*instances, "/flows");
+    const auto reports = instances->companion_reports("/flows");
     if (context.settings.json)
     {
         json::array items(reports.begin(), reports.end());
@@ -393,64 +278,4 @@
     return cli_exit::success;
 }
 
-cli_exit show_audit(const command_context& context)
-{
-    cli_exit exit = cli_exit::success;
-    const auto texts = read_audit_texts(context, exit);
-    if (!texts)
-    {
-        return exit;
-    }
-    std::vector<json::object> reports;
-    fleet instances(context.settings.entries);
-    if (!context.settings.entries.empty() && instances.refresh())
-    {
-        reports = instances.reports();
-        const auto companions = query_companions(instances, "/status");
-        reports.insert(reports.end(), companions.begin(), companions.end());
-    }
-    json::array items;
-    for (const auto& text : *texts)
-    {
-        failure_reason reason;
-        const auto record = parse_audit(text, reason);
-        if (!record)
-        {
-            return report_failure(context, reason);
-        }
-        const auto summary = summarize(reports, record->number);
-        if (context.settings.json)
-        {
-            items.push_back(audit_to_json(*record, summary));
-        }
-        else
-        {
-            print_audit(context, *record, summary);
-        }
-    }
-    if (context.settings.json)
-    {
-        context.out << json::serialize(items) << '\n';
-    }
-    return cli_exit::success;
-}
-
-cli_exit verify_audit(const command_context& context)
-{
-    cli_exit exit = cli_exit::success;
-    const auto texts = read_audit_texts(context, exit);
-    if (!texts)
-    {
-        return exit;
-    }
-    failure_reason reason;
-    const auto count = verify_chain(*texts, reason);
-    if (!count)
-    {
-        return report_failure(context, reason);
-    }
-    context.out << "the chain of " << *count << " records is intact\n";
-    return cli_exit::success;
-}
-
 } // namespace masticslip
--- a/src/cli/report_commands.hpp
+++ b/src/cli/report_commands.hpp
@@ -13,7 +13,5 @@
 cli_exit show_status(const command_context& context);
 cli_exit show_upstreams(const command_context& context);
 cli_exit show_flows(const command_context& context);
-cli_exit show_audit(const command_context& context);
-cli_exit verify_audit(const command_context& context);
 
 } // namespace masticslip
--- a/src/core/result_code.cpp
+++ b/src/core/result_code.cpp
@@ -5,7 +5,7 @@
 namespace masticslip
 {
 
-const std::array<result_code_entry, 33> result_code_table{{
+const std::array<result_code_entry, 34> result_code_table{{
     {result_code::done, "done"},
     {result_code::not_run_echo_required, "not_run_echo_required"},
     {result_code::not_run_overloaded, "not_run_overloaded"},
@@ -32,6 +32,7 @@
     {result_code::config_store_unavailable, "config_store_unavailable"},
     {result_code::config_not_in_force, "config_not_in_force"},
     {result_code::config_not_found, "config_not_found"},
+    {result_code::config_records_lost, "config_records_lost"},
     {result_code::dropped_malformed, "dropped_malformed"},
     {result_code::dropped_unauthentic, "dropped_unauthentic"},
     {result_code::dropped_foreign_version, "dropped_foreign_version"},
--- a/src/daemon/companion_process.cpp
+++ b/src/daemon/companion_process.cpp
@@ -85,9 +85,10 @@
     this->upstream_socket.close();
 }
 
-generation companion_process::in_force() const
+std::shared_ptr<const configuration>
+companion_process::current_configuration() const
 {
-    return this->core.config().number();
+    return this->core.config().current();
 }
 
 json::object companion_process::status(time_point now)
--- a/src/daemon/companion_process.hpp
+++ b/src/daemon/companion_process.hpp
@@ -25,7 +25,8 @@
     void on_stop_requested(time_point now) override;
     bool may_exit(time_point now) override;
     void before_exit(time_point now) override;
-    [[nodiscard]] generation in_force() const override;
+    [[nodiscard]] std::shared_ptr<const configuration>
+    current_configuration() const override;
     boost::json::object status(time_point now) override;
     boost::json::object flows(std::size_t limit) override;
     bool submit_configuration(
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -90,9 +90,10 @@
     }
 }
 
-generation entry_process::in_force() const
+std::shared_ptr<const configuration>
+entry_process::current_configuration() const
 {
-    return this->core.config().number();
+    return this->core.config().current();
 }
 
 json::object entry_process::status(time_point now)
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -92,19 +92,26 @@
         });
 }
 
+generation process::in_force() const
+{
+    const auto current = this->current_configuration();
+    return current ? current->number : 0;
+}
+
 void process::record_generation()
 {
-    const generation number = this->in_force();
+    const auto current = this->current_configuration();
     const bool known =
-        number == 0 || (!this->generation_history.empty() &&
-                        this->generation_history.back().number == number);
+        !current || (!this->generation_history.empty() &&
+                     this->generation_history.back().number == current->number);
     if (known)
     {
         return;
     }
     const auto now = std::chrono::system_clock::now().time_since_epoch();
     this->generation_history.push_back(
-        {number, std::chrono::duration_cast<duration>(now).count()});
+        {current->number, std::chrono::duration_cast<duration>(now).count(),
+         current->change.id});
     if (this->generation_history.size() > max_history)
     {
         this->generation_history.pop_front();
@@ -117,7 +124,9 @@
     for (const auto& item : this->generation_history)
     {
         result.push_back(json::object{
-            {"generation", item.number}, {"since_us", item.since_us}});
+            {"generation", item.number},
+            {"since_us", item.since_us},
+            {"change", item.change_id}});
     }
     return result;
 }
--- a/src/daemon/process.hpp
+++ b/src/daemon/process.hpp
@@ -5,6 +5,7 @@
 
 #include "daemon_settings.hpp"
 #include "internal_transport.hpp"
+#include "masticslip/core/configuration.hpp"
 #include "net/http.hpp"
 #include "telemetry/telemetry.hpp"
 
@@ -15,6 +16,7 @@
 #include <boost/json/object.hpp>
 
 #include <deque>
+#include <memory>
 
 namespace masticslip
 {
@@ -46,7 +48,11 @@
     virtual bool may_exit(time_point now) = 0;
     /// Final work before the event loop stops.
     virtual void before_exit(time_point now) = 0;
-    [[nodiscard]] virtual generation in_force() const = 0;
+    /// The configuration in force, or null.
+    [[nodiscard]] virtual std::shared_ptr<const configuration>
+    current_configuration() const = 0;
+    /// Generation in force; zero if none.
+    [[nodiscard]] generation in_force() const;
     virtual boost::json::object status(time_point now) = 0;
     virtual boost::json::object flows(std::size_t limit) = 0;
     /// Handles a configuration document; false and a reason if rejected.
@@ -77,6 +83,7 @@
     {
         generation number = 0;
         std::int64_t since_us = 0;
+        std::string change_id;
     };
 
     std::deque<generation_record> generation_history;
--- a/standins/fleet/local_fleet.cpp
+++ b/standins/fleet/local_fleet.cpp
@@ -354,13 +354,19 @@
 }
 
 void local_fleet::set_store_fault(const std::string& mode, int delay_ms)
+{
+    this->post_to_store(
+        "/standin/fault",
+        json::serialize(json::object{{"mode", mode}, {"delay_ms", delay_ms}}));
+}
+
+void local_fleet::post_to_store(const char* target, const std::string& body)
 {
     http_call call;
     call.server = this->address(0, 0, store_port);
     call.method = http::verb::post;
-    call.target = "/standin/fault";
-    call.body =
-        json::serialize(json::object{{"mode", mode}, {"delay_ms", delay_ms}});
+    call.target = target;
+    call.body = body;
     std::string reason;
     send_http_blocking(call, reason);
 }
--- a/standins/fleet/local_fleet.hpp
+++ b/standins/fleet/local_fleet.hpp
@@ -138,6 +138,17 @@
     boost::json::object entry_status(std::size_t index);
 
     void set_store_fault(const std::string& mode, int delay_ms = 0);
+    /// Keeps a copy of all that the store holds, in place of an earlier one.
+    void copy_store()
+    {
+        this->post_to_store("/standin/copy", "{}");
+    }
+    /// Puts the store back to the copy; what was written since is lost.
+    /// Precondition: copy_store() was called.
+    void restore_store()
+    {
+        this->post_to_store("/standin/restore", "{}");
+    }
     boost::json::object store_counts();
 
     /// Polls `condition` until it holds. Returns false on timeout.
@@ -178,6 +189,7 @@
         const std::string& file_prefix,
         const std::vector<std::string>& arguments);
     boost::json::object get_json(const endpoint& server, const char* target);
+    void post_to_store(const char* target, const std::string& body);
     bool is_ready();
 
     fleet_shape shape;
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -7,6 +7,8 @@
 //   slow           answers after delay_ms
 //   lose_answers   applies writes, then closes without an answer; reads are
 //                  answered normally
+// POST /standin/copy keeps a copy of the keys and the revision.
+// POST /standin/restore goes back to it; later revisions are given out again.
 // GET /standin/counts returns the number of calls by request target and the
 // number of waiting watches.
 
@@ -48,6 +50,12 @@
     std::int64_t lease = 0;
 };
 
+struct store_copy
+{
+    std::map<std::string, stored_value> values;
+    std::int64_t revision = 1;
+};
+
 struct waiting_watch
 {
     std::string key;
@@ -291,6 +299,17 @@
             return make_response(
                 request, http::status::ok, json::serialize(result));
         }
+        if (request.target() == "/standin/copy")
+        {
+            this->copy = {this->values, this->revision};
+            return make_response(request, http::status::ok, "{}");
+        }
+        if (request.target() == "/standin/restore")
+        {
+            this->values = this->copy.values;
+            this->revision = this->copy.revision;
+            return make_response(request, http::status::ok, "{}");
+        }
         const auto body = json::parse(request.body()).as_object();
         this->mode = std::string(body.at("mode").as_string());
         this->delay = std::chrono::milliseconds(to_int(body, "delay_ms"));
@@ -337,6 +356,7 @@
     std::string mode = "none";
     std::chrono::milliseconds delay{};
     std::int64_t revision = 1;
+    store_copy copy;
     std::int64_t last_lease = 0;
 };
 
--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -9,6 +9,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 
@@ -54,6 +55,86 @@
     std::string file;
 };
 
+/// The same store with two entries and one companion, which have generations 1
+/// to 3 in force, and a copy of the store from generation 1.
+struct copied_store_fixture : store_fixture
+{
+    copied_store_fixture()
+    {
+        this->fleet.start_entry(0);
+        this->fleet.start_entry(1);
+        this->fleet.start_companion(0);
+        this->require_in_force(1);
+        this->fleet.copy_store();
+        this->change({"preset", "use", "peak"});
+        this->require_in_force(2);
+        this->change({"domain", "out", "kgl-gas"});
+        this->require_in_force(3);
+    }
+
+    void change(std::vector<std::string> arguments)
+    {
+        arguments.insert(arguments.end(), {"--reason", "test"});
+        const auto result = this->run(arguments);
+        BOOST_REQUIRE_MESSAGE(result.exit_code == 0, result.errors);
+    }
+
+    /// Waits until all processes list the generation in their history.
+    void require_in_force(generation number)
+    {
+        const auto remembers = [number](const boost::json::object& report)
+        {
+            const auto* history = report.if_contains("history");
+            return history != nullptr && !history->as_array().empty() &&
+                   history->as_array()
+                           .back()
+                           .at("generation")
+                           .to_number<generation>() == number;
+        };
+        BOOST_REQUIRE(local_fleet::wait_until(
+            [&]
+            {
+                return remembers(this->fleet.entry_status(0)) &&
+                       remembers(this->fleet.entry_status(1)) &&
+                       remembers(this->fleet.companion_status(0));
+            },
+            10s));
+    }
+
+    /// How many processes the first entry reports with this generation.
+    std::size_t members_with(generation number)
+    {
+        std::size_t result = 0;
+        const auto report = this->fleet.entry_status(0);
+        for (const auto& member : report.at("members").as_array())
+        {
+            const auto* value = member.as_object().if_contains("generation");
+            const bool has_it =
+                value != nullptr && value->to_number<generation>() == number;
+            result += has_it ? 1 : 0;
+        }
+        return result;
+    }
+
+    /// Change ids by generation, as the store has them.
+    std::vector<std::string> change_ids()
+    {
+        std::vector<std::string> result{""};
+        const auto audit =
+            boost::json::parse(this->run({"audit", "--json"}).out);
+        for (const auto& record : audit.as_array())
+        {
+            result.emplace_back(record.at("change_id").as_string());
+        }
+        return result;
+    }
+};
+
+bool contains(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
 struct command_case
 {
     std::vector<std::string> arguments;
@@ -75,6 +156,8 @@
     {{"domain", "list"}, 0, "kgl-gas in service"},
     {{"audit"}, 0, "generation 1"},
     {{"audit", "verify"}, 0, "chain of 1 records is intact"},
+    {{"audit", "verify"}, 0, "no process answers"},
+    {{"audit", "verify"}, 0, "newer records are missing cannot be seen"},
     {{"preset", "use", "none", "--reason", "x"}, 8, "no preset 'none'"},
     {{"domain", "out", "kgl-x", "--reason", "x"}, 8, "no failure domain"},
     {{"domain", "in", "kgl-gas", "--reason", "x"}, 8, "is not withdrawn"},
@@ -176,4 +259,92 @@
     BOOST_TEST(result.exit_code == 5, result.errors);
 }
 
+BOOST_AUTO_TEST_CASE(a_chain_that_processes_know_in_full_is_intact)
+{
+    copied_store_fixture store;
+    const auto result = store.run({"audit", "verify"});
+    BOOST_TEST(result.exit_code == 0);
+    BOOST_TEST(result.out == "the chain of 3 records is intact\n");
+}
+
+BOOST_AUTO_TEST_CASE(records_that_a_restored_store_lost_are_named)
+{
+    copied_store_fixture store;
+    const auto ids = store.change_ids();
+    const std::string who =
+        "entry-0, entry-1, " + store.fleet.upstreams()[0].name + "\n";
+    store.fleet.restore_store();
+
+    const auto result = store.run({"audit", "verify"});
+
+    BOOST_TEST(result.exit_code == 9);
+    BOOST_TEST(
+        result.out == "generation 2  " + ids[2] + ": missing, remembered by " +
+                          who + "generation 3  " + ids[3] +
+                          ": missing, remembered by " + who);
+    BOOST_TEST(
+        contains(result.errors, "config_records_lost (407)"), result.errors);
+}
+
+BOOST_AUTO_TEST_CASE(lost_records_are_named_after_the_chain_has_passed_them)
+{
+    copied_store_fixture store;
+    const auto lost = store.change_ids();
+    store.fleet.restore_store();
+    store.change({"preset", "use", "maintenance"});
+    store.change({"preset", "use", "peak"});
+    store.change({"domain", "out", "kgl-gas"});
+    const auto ids = store.change_ids();
+
+    const auto result = store.run({"audit", "verify"});
+
+    BOOST_TEST(result.exit_code == 9);
+    for (const std::size_t number : {2U, 3U})
+    {
+        const std::string line = "generation " + std::to_string(number) + "  " +
+                                 lost[number] + ": replaced by " + ids[number];
+        BOOST_TEST(contains(result.out, line), result.out);
+    }
+    BOOST_TEST(!contains(result.out, "generation 1 "), result.out);
+    BOOST_TEST(!contains(result.out, "generation 4"), result.out);
+}
+
+BOOST_AUTO_TEST_CASE(what_silent_processes_had_is_known_from_an_entry)
+{
+    copied_store_fixture store;
+    BOOST_REQUIRE(local_fleet::wait_until(
+        [&] { return store.members_with(3) == 3; }, 10s));
+    store.fleet.signal_and_wait("companion-0", SIGKILL);
+    store.fleet.signal_and_wait("entry-1", SIGKILL);
+    store.fleet.restore_store();
+
+    const auto result = store.run({"audit", "verify"});
+
+    BOOST_TEST(result.exit_code == 9);
+    BOOST_TEST(
+        contains(
+            result.out, "generation 3: missing, remembered by entry-1 (as an "
+                        "entry heard), " +
+                            store.fleet.upstreams()[0].name +
+                            " (as an entry heard)\n"),
+        result.out);
+}
+
+BOOST_AUTO_TEST_CASE(without_processes_lost_records_cannot_be_seen)
+{
+    copied_store_fixture store;
+    for (const char* name : {"entry-0", "entry-1", "companion-0"})
+    {
+        store.fleet.signal_and_wait(name, SIGKILL);
+    }
+    store.fleet.restore_store();
+
+    const auto result = store.run({"audit", "verify"});
+
+    BOOST_TEST(result.exit_code == 0);
+    BOOST_TEST(contains(result.out, "chain of 1 records is intact"));
+    BOOST_TEST(contains(result.out, "no process answers"), result.out);
+    BOOST_TEST(contains(result.out, "cannot be seen"), result.out);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
