--- a/src/cli/audit_commands.cpp
+++ b/src/cli/audit_commands.cpp
@@ -29,6 +29,17 @@
     return result;
 }
 
+/// Zero if the value is missing or no such number.
+template <class Number>
+Number number_of(const json::object& object, std::string_view key)
+{
+    const auto* value = object.if_contains(key);
+    json::error_code error;
+    const Number number =
+        value != nullptr ? value->to_number<Number>(error) : Number{};
+    return error ? Number{} : number;
+}
+
 /// Wall-clock time at which this generation or a newer one came into force at
 /// an instance, by the oldest such entry of its history, in microseconds; zero
 /// if the history has none.
@@ -41,10 +52,11 @@
     }
     for (const auto& value : history->get_array())
     {
-        const auto& item = value.as_object();
-        if (item.at("generation").to_number<generation>() >= number)
+        const auto* item = value.if_object();
+        if (item != nullptr &&
+            number_of<generation>(*item, "generation") >= number)
         {
-            return item.at("since_us").to_number<std::int64_t>();
+            return number_of<std::int64_t>(*item, "since_us");
         }
     }
     return 0;
--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -79,7 +79,11 @@
     }
     for (const auto& value : members->get_array())
     {
-        const json::object& item = value.as_object();
+        if (!value.is_object())
+        {
+            continue;
+        }
+        const json::object& item = value.get_object();
         const std::string id = text_of(item, "id");
         fleet_member& member = this->known_members[id];
         member.id = id;
--- a/src/cli/report_commands.cpp
+++ b/src/cli/report_commands.cpp
@@ -73,6 +73,23 @@
     context.out << '\n';
 }
 
+void print_flows(const command_context& context, const json::object& report)
+{
+    const auto* flows = report.if_contains("flows");
+    if (flows == nullptr || !flows->is_array())
+    {
+        return;
+    }
+    for (const auto& value : flows->get_array())
+    {
+        if (const auto* flow = value.if_object())
+        {
+            context.out << "  " << text_of(*flow, "caller") << " watches "
+                        << text_of(*flow, "watches") << '\n';
+        }
+    }
+}
+
 } // namespace
 
 cli_exit show_configuration(const command_context& context)
@@ -268,12 +285,7 @@
     {
         context.out << text_of(report, "owner") << ": "
                     << text_of(report, "total") << " flows\n";
-        for (const auto& flow : report.at("flows").as_array())
-        {
-            context.out << "  " << text_of(flow.as_object(), "caller")
-                        << " watches " << text_of(flow.as_object(), "watches")
-                        << '\n';
-        }
+        print_flows(context, report);
     }
     return cli_exit::success;
 }
