Log a store watch that fails

Change: etcd_client tells the two apart; store_watcher logs store_watch_failed with the reason, the first of several in a row. The stand-in store can end all watches. The other suspicion, that entry_process drops the reason of a refused document, is ruled out by the_reason_of_a_refused_document_is_logged, which passed before any change: config_controller reports configuration_refused with the path, and it is logged.

--- a/src/daemon/store_watcher.cpp
+++ b/src/daemon/store_watcher.cpp
@@ -87,6 +87,7 @@
     {
         const auto changed = co_await this->client.watch(
             configuration_key, revision, watch_timeout);
+        this->log_watch(changed.has_value());
         if (!changed)
         {
             // The watch may only have timed out. The next read determines
@@ -99,6 +100,18 @@
     co_return true;
 }
 
+void store_watcher::log_watch(bool has_change)
+{
+    const bool failed = !has_change && this->client.has_watch_failed();
+    // A store that refuses all watches is asked again ten times a second.
+    if (failed && !this->watch_failing)
+    {
+        log_line(log_level::warning, "store_watch_failed")
+            .field("detail", std::string_view(this->client.last_reason()));
+    }
+    this->watch_failing = failed;
+}
+
 asio::awaitable<void> store_watcher::sleep(std::chrono::milliseconds time)
 {
     asio::steady_timer timer(this->context, time);
--- a/src/daemon/store_watcher.hpp
+++ b/src/daemon/store_watcher.hpp
@@ -44,6 +44,8 @@
     boost::asio::awaitable<bool> read_and_watch();
     boost::asio::awaitable<void> sleep(std::chrono::milliseconds time);
     std::chrono::milliseconds record_failure();
+    /// Logs the first of several failing watches in a row.
+    void log_watch(bool has_change);
     std::chrono::milliseconds backoff();
 
     boost::asio::io_context& context;
@@ -52,6 +54,7 @@
     watch_condition should_watch;
     document_handler on_document;
     unsigned failures = 0;
+    bool watch_failing = false;
 };
 
 } // namespace masticslip
--- a/src/platform/etcd_client.cpp
+++ b/src/platform/etcd_client.cpp
@@ -250,7 +250,9 @@
             }
         }
     }
-    this->reason = "watch ended: " + error.message();
+    this->watch_failed = error != beast::error::timeout;
+    this->reason =
+        "watch ended: " + (error ? error.message() : "closed by the store");
     ++this->next_server;
     co_return std::nullopt;
 }
--- a/src/platform/etcd_client.hpp
+++ b/src/platform/etcd_client.hpp
@@ -69,10 +69,16 @@
     boost::asio::awaitable<write_outcome> write(conditional_write request);
 
     /// Waits for a change of the key after `revision`. Returns the new value,
-    /// or nullopt if no change was received within `wait`.
+    /// or nullopt if no change was received within `wait` or the watch failed.
     boost::asio::awaitable<std::optional<key_value>> watch(
         std::string key, std::int64_t revision, std::chrono::milliseconds wait);
 
+    /// True if the last watch without a change failed before its `wait`.
+    [[nodiscard]] bool has_watch_failed() const
+    {
+        return this->watch_failed;
+    }
+
     [[nodiscard]] const std::string& last_reason() const
     {
         return this->reason;
@@ -91,6 +97,7 @@
     std::vector<endpoint> servers;
     std::chrono::milliseconds timeout;
     std::string reason;
+    bool watch_failed = false;
     std::size_t next_server = 0;
     std::uint64_t call_count = 0;
 };
--- a/standins/fleet/local_fleet.hpp
+++ b/standins/fleet/local_fleet.hpp
@@ -137,6 +137,8 @@
     boost::json::object companion_status(std::size_t index);
     boost::json::object entry_status(std::size_t index);
 
+    /// Sends one call to the store. Errors are ignored.
+    void post_to_store(const char* target, const std::string& body);
     void set_store_fault(const std::string& mode, int delay_ms = 0);
     /// Keeps a copy of all that the store holds, in place of an earlier one.
     void copy_store()
@@ -189,7 +191,6 @@
         const std::string& file_prefix,
         const std::vector<std::string>& arguments);
     boost::json::object get_json(const endpoint& server, const char* target);
-    void post_to_store(const char* target, const std::string& body);
     bool is_ready();
 
     fleet_shape shape;
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -7,6 +7,7 @@
 //   slow           answers after delay_ms
 //   lose_answers   applies writes, then closes without an answer; reads are
 //                  answered normally
+//   no_watch       closes watches without an answer; answers all else normally
 // POST /standin/copy keeps a copy of the keys and the revision.
 // POST /standin/restore goes back to it; later revisions are given out again.
 // GET /standin/counts returns the number of calls by request target and the
@@ -122,7 +123,10 @@
         }
         if (target == "/v3/watch")
         {
-            co_await this->watch(body.get_object(), stream);
+            if (this->mode != "no_watch")
+            {
+                co_await this->watch(body.get_object(), stream);
+            }
             co_return std::nullopt;
         }
         const auto answer = this->answer(target, body.get_object());
@@ -231,7 +235,7 @@
         stream.expires_never();
         co_await asio::async_write(
             stream, asio::buffer(std::string_view(stream_header)), token);
-        while (!error && this->mode != "down")
+        while (!error && this->mode != "down" && this->mode != "no_watch")
         {
             const auto found = this->values.find(key);
             if (found != this->values.end() &&
--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -3,15 +3,19 @@
 
 #define BOOST_TEST_MODULE cli
 #include "fleet/local_fleet.hpp"
+#include "platform/etcd_client.hpp"
+#include "platform/masticslip_keys.hpp"
 
 #include <boost/json.hpp>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <thread>
 
 namespace
 {
@@ -116,6 +120,20 @@
         return result;
     }
 
+    std::vector<std::string> entry_log_lines()
+    {
+        std::vector<std::string> result;
+        for (const char* name : {"/entry-0.log", "/entry-1.log"})
+        {
+            std::ifstream file(this->fleet.work_folder() + name);
+            for (std::string line; std::getline(file, line);)
+            {
+                result.push_back(line);
+            }
+        }
+        return result;
+    }
+
     /// Change ids by generation, as the store has them.
     std::vector<std::string> change_ids()
     {
@@ -348,3 +366,51 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(entry_process)
+
+BOOST_AUTO_TEST_CASE(the_reason_of_a_refused_document_is_logged)
+{
+    copied_store_fixture store;
+    std::string text = store.fleet.document();
+    text.replace(text.find("ordinary"), 8, "ordinarz");
+    store.fleet.post_to_store(
+        "/v3/kv/put", boost::json::serialize(boost::json::object{
+                          {"key", encode_base64(configuration_key)},
+                          {"value", encode_base64(text)}}));
+    BOOST_TEST(local_fleet::wait_until(
+        [&]
+        {
+            for (const auto& line : store.entry_log_lines())
+            {
+                if (contains(line, "configuration_refused") &&
+                    contains(line, "$.preset_in_force"))
+                {
+                    return true;
+                }
+            }
+            return false;
+        },
+        10s));
+}
+
+BOOST_AUTO_TEST_CASE(a_failing_watch_is_logged_once)
+{
+    copied_store_fixture store;
+    const auto count = [&store]
+    {
+        const auto lines = store.entry_log_lines();
+        return std::count_if(
+            lines.begin(), lines.end(),
+            [](const std::string& line)
+            { return contains(line, "store_watch_failed"); });
+    };
+    BOOST_TEST(count() == 0);
+    store.fleet.set_store_fault("no_watch");
+    // Both entries watch.
+    BOOST_REQUIRE(local_fleet::wait_until([&] { return count() >= 2; }, 10s));
+    std::this_thread::sleep_for(1s);
+    BOOST_TEST(count() == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
