Report cancelled requests with their time

Change: the time of the call is passed on; the virtual fleet counts events with time zero. Not changed: an entry announces itself with time zero (member_changed) as its constructor has no clock.

--- a/include/masticslip/core/detail/request_controller.hpp
+++ b/include/masticslip/core/detail/request_controller.hpp
@@ -136,7 +136,7 @@
         coap_code code,
         result_code result,
         bool record);
-    void cancel_at_upstream(exchange_id id);
+    void cancel_at_upstream(time_point now, exchange_id id);
     void start_queued(time_point now);
     void on_relay_failure(time_point now, const forward_message& message);
 
--- a/src/core/request_endings.cpp
+++ b/src/core/request_endings.cpp
@@ -16,7 +16,7 @@
     const auto position = this->exchanges.find(id);
     const exchange item = position->second;
     this->finish(now, position);
-    this->cancel_at_upstream(id);
+    this->cancel_at_upstream(now, id);
     if (item.kind == exchange_kind::renewal)
     {
         this->queued.push_back(item);
@@ -150,7 +150,7 @@
         item.request, std::move(answer));
 }
 
-void request_controller::cancel_at_upstream(exchange_id id)
+void request_controller::cancel_at_upstream(time_point now, exchange_id id)
 {
     coap_message cancel;
     cancel.type = coap_type::non_confirmable;
@@ -160,7 +160,7 @@
     cancel.add_text(coap_option_number::uri_path, "masticslip");
     cancel.add_text(coap_option_number::uri_path, "cancel");
     this->context.output.send_to_upstream(this->context.codec.encode(cancel));
-    this->context.report({}, event_kind::request_cancelled, {});
+    this->context.report(now, event_kind::request_cancelled, {});
 }
 
 void request_controller::start_queued(time_point now)
--- a/tests/at_most_once_test.cpp
+++ b/tests/at_most_once_test.cpp
@@ -131,6 +131,7 @@
     }
     fleet.run_for(60s);
 
+    BOOST_TEST(fleet.undated_events(event_kind::request_cancelled) == 0U);
     const auto violations = fleet.violations();
     std::cout << faults.name << " seed " << seed << ": requests "
               << fleet.requests().size() << " done "
--- a/tests/support/virtual_fleet.cpp
+++ b/tests/support/virtual_fleet.cpp
@@ -195,6 +195,11 @@
     return this->sink->counts.at(static_cast<std::size_t>(kind));
 }
 
+std::uint64_t virtual_fleet::undated_events(event_kind kind) const
+{
+    return this->sink->undated.at(static_cast<std::size_t>(kind));
+}
+
 std::uint64_t virtual_fleet::entry_refusals() const
 {
     std::uint64_t result = 0;
--- a/tests/support/virtual_fleet.hpp
+++ b/tests/support/virtual_fleet.hpp
@@ -207,6 +207,8 @@
 
     /// Events reported by all cores.
     [[nodiscard]] std::uint64_t events(event_kind kind) const;
+    /// Number of these events that were reported with time zero.
+    [[nodiscard]] std::uint64_t undated_events(event_kind kind) const;
 
     /// Packets that entries refused without forwarding them.
     [[nodiscard]] std::uint64_t entry_refusals() const;
--- a/tests/support/virtual_nodes.hpp
+++ b/tests/support/virtual_nodes.hpp
@@ -53,12 +53,16 @@
 class virtual_fleet::counting_sink final : public event_sink
 {
 public:
-    void on_event(time_point, const core_event& event) override
+    void on_event(time_point now, const core_event& event) override
     {
-        ++this->counts.at(static_cast<std::size_t>(event.kind));
+        const auto kind = static_cast<std::size_t>(event.kind);
+        ++this->counts.at(kind);
+        this->undated.at(kind) += now == time_point{} ? 1 : 0;
     }
 
     std::array<std::uint64_t, event_kind_count> counts{};
+    /// Those of `counts` that were reported with time zero.
+    std::array<std::uint64_t, event_kind_count> undated{};
 };
 
 struct virtual_fleet::entry_node final : entry_output
