Send relayed packets above the limit once

Change: such a packet is sent once without asking for an acknowledgement; memory stays bounded, its caller's retransmission covers a loss.

--- a/include/masticslip/core/detail/acknowledged_relay.hpp
+++ b/include/masticslip/core/detail/acknowledged_relay.hpp
@@ -26,7 +26,8 @@
     {
     }
 
-    /// Sends a packet. Drops it if too many packets are unacknowledged.
+    /// Sends a packet. If too many packets are unacknowledged, sends it once
+    /// without asking for an acknowledgement; a loss is then not reported.
     void send(
         time_point now,
         forward_message message,
--- a/src/core/acknowledged_relay.cpp
+++ b/src/core/acknowledged_relay.cpp
@@ -25,6 +25,8 @@
 {
     if (this->unacknowledged.size() >= max_unacknowledged)
     {
+        message.sequence = 0;
+        this->ownership.relay(now, message, target, mode);
         return;
     }
     message.sequence = this->next_sequence++;
