Give each final notification a message id of its own

Change: the final packet starts with no attempts and thus gets a new id. Finals are still not sent again.

--- a/src/core/watch_controller.cpp
+++ b/src/core/watch_controller.cpp
@@ -183,6 +183,7 @@
         const std::string_view name = to_string(code);
         answer.payload.assign(name.begin(), name.end());
         item.unacknowledged = std::move(answer);
+        item.attempts = 0;
         this->send(now, item);
         this->cancel_at_upstream(item);
         this->end(now, position, code);
--- /dev/null
+++ b/src/core/watch_controller_test.cpp
@@ -0,0 +1,106 @@
+#include "masticslip/core/detail/watch_controller.hpp"
+
+#include "libcoap_codec.hpp"
+#include "support/null_outputs.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdint>
+#include <set>
+
+namespace
+{
+
+using namespace masticslip;
+using namespace masticslip::detail;
+using namespace std::chrono_literals;
+
+/// Keeps the packets sent to callers.
+class reply_output final : public testing::null_companion_output
+{
+public:
+    void send(instance_id, const internal_message& message) override
+    {
+        if (const auto* reply = std::get_if<reply_message>(&message))
+        {
+            this->replies.emplace_back(
+                reply->payload.begin(), reply->payload.end());
+        }
+    }
+
+    std::vector<bytes> replies;
+};
+
+class null_receiver final : public flow_receiver
+{
+public:
+    void on_owned_packet(time_point, const forward_message&) override
+    {
+    }
+};
+
+/// One flow with two watches, each of which has sent a notification.
+struct watch_fixture
+{
+    watch_fixture()
+    {
+        for (const exchange_id id : {1U, 2U})
+        {
+            watch_registration item;
+            item.id = id;
+            item.flow = this->flow;
+            item.entry = this->entry;
+            item.request.code = coap_code::get;
+            item.request.token = {static_cast<std::uint8_t>(id)};
+            this->watches.start(this->start, item);
+            coap_message notification;
+            notification.code = coap_code::content;
+            notification.set_uint(coap_option_number::observe, 5);
+            BOOST_REQUIRE(
+                this->watches.on_notification(this->start, id, notification));
+        }
+    }
+
+    static companion_settings make_settings()
+    {
+        companion_settings settings;
+        settings.service = "meetups";
+        settings.failure_domain = "a";
+        settings.keys = {shared_key{1, 2, 3}};
+        return settings;
+    }
+
+    const time_point start{1s};
+    const flow_key flow{{0x7f000001, 4000}, make_service_id("meetups")};
+    const instance_id entry{endpoint{0x0a000001, 7000}.packed()};
+    reply_output output;
+    testing::null_event_sink sink;
+    libcoap_codec codec;
+    companion_context context{
+        make_settings(), this->output, this->sink, this->codec};
+    null_receiver receiver;
+    ownership_controller ownership{this->context, this->receiver};
+    watch_controller watches{this->context, this->ownership};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(watch_controller_rules)
+
+BOOST_FIXTURE_TEST_CASE(each_packet_has_its_own_message_id, watch_fixture)
+{
+    this->watches.terminate_all(
+        this->start + 1s, result_code::watch_ended_domain_withdrawn);
+
+    std::set<std::uint16_t> ids;
+    for (const auto& packet : this->output.replies)
+    {
+        const auto message = this->codec.decode(packet);
+        BOOST_REQUIRE(message.has_value());
+        ids.insert(message->message_id);
+    }
+    BOOST_TEST(this->output.replies.size() == 4U);
+    BOOST_TEST(ids.size() == 4U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
