--- a/tests/tools/run_tests_fixture.cpp
+++ b/tests/tools/run_tests_fixture.cpp
@@ -37,3 +37,21 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(rows)
+
+BOOST_DATA_TEST_CASE(all_fail, boost::unit_test::data::xrange(2), number)
+{
+    BOOST_TEST(number < 0);
+}
+
+BOOST_AUTO_TEST_SUITE(inner)
+
+BOOST_AUTO_TEST_CASE(passes)
+{
+    BOOST_TEST(true);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
