--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -79,7 +79,11 @@
     }
     for (const auto& value : members->get_array())
     {
-        const json::object& item = value.as_object();
+        if (!value.is_object())
+        {
+            continue;
+        }
+        const json::object& item = value.get_object();
         const std::string id = text_of(item, "id");
         fleet_member& member = this->known_members[id];
         member.id = id;
@@ -93,6 +97,25 @@
     }
 }
 
+std::vector<json::object> fleet::companion_reports(const std::string& target)
+{
+    std::vector<json::object> result;
+    for (const auto& [id, member] : this->known_members)
+    {
+        const bool is_present_companion =
+            member.role == "companion" && member.state != "left";
+        if (!is_present_companion)
+        {
+            continue;
+        }
+        if (const auto report = this->get(member.admin, target))
+        {
+            result.push_back(*report);
+        }
+    }
+    return result;
+}
+
 std::vector<fleet_member> fleet::members_behind(generation number) const
 {
     std::vector<fleet_member> result;
--- a/standins/fleet/local_fleet.hpp
+++ b/standins/fleet/local_fleet.hpp
@@ -137,7 +137,20 @@
     boost::json::object companion_status(std::size_t index);
     boost::json::object entry_status(std::size_t index);
 
+    /// Sends one call to the store. Errors are ignored.
+    void post_to_store(const char* target, const std::string& body);
     void set_store_fault(const std::string& mode, int delay_ms = 0);
+    /// Keeps a copy of all that the store holds, in place of an earlier one.
+    void copy_store()
+    {
+        this->post_to_store("/standin/copy", "{}");
+    }
+    /// Puts the store back to the copy; what was written since is lost.
+    /// Precondition: copy_store() was called.
+    void restore_store()
+    {
+        this->post_to_store("/standin/restore", "{}");
+    }
     boost::json::object store_counts();
 
     /// Polls `condition` until it holds. Returns false on timeout.
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -7,6 +7,9 @@
 //   slow           answers after delay_ms
 //   lose_answers   applies writes, then closes without an answer; reads are
 //                  answered normally
+//   no_watch       closes watches without an answer; answers all else normally
+// POST /standin/copy keeps a copy of the keys and the revision.
+// POST /standin/restore goes back to it; later revisions are given out again.
 // GET /standin/counts returns the number of calls by request target and the
 // number of waiting watches.
 
@@ -48,6 +51,12 @@
     std::int64_t lease = 0;
 };
 
+struct store_copy
+{
+    std::map<std::string, stored_value> values;
+    std::int64_t revision = 1;
+};
+
 struct waiting_watch
 {
     std::string key;
@@ -114,7 +123,10 @@
         }
         if (target == "/v3/watch")
         {
-            co_await this->watch(body.get_object(), stream);
+            if (this->mode != "no_watch")
+            {
+                co_await this->watch(body.get_object(), stream);
+            }
             co_return std::nullopt;
         }
         const auto answer = this->answer(target, body.get_object());
@@ -223,7 +235,7 @@
         stream.expires_never();
         co_await asio::async_write(
             stream, asio::buffer(std::string_view(stream_header)), token);
-        while (!error && this->mode != "down")
+        while (!error && this->mode != "down" && this->mode != "no_watch")
         {
             const auto found = this->values.find(key);
             if (found != this->values.end() &&
@@ -291,6 +303,17 @@
             return make_response(
                 request, http::status::ok, json::serialize(result));
         }
+        if (request.target() == "/standin/copy")
+        {
+            this->copy = {this->values, this->revision};
+            return make_response(request, http::status::ok, "{}");
+        }
+        if (request.target() == "/standin/restore")
+        {
+            this->values = this->copy.values;
+            this->revision = this->copy.revision;
+            return make_response(request, http::status::ok, "{}");
+        }
         const auto body = json::parse(request.body()).as_object();
         this->mode = std::string(body.at("mode").as_string());
         this->delay = std::chrono::milliseconds(to_int(body, "delay_ms"));
@@ -337,6 +360,7 @@
     std::string mode = "none";
     std::chrono::milliseconds delay{};
     std::int64_t revision = 1;
+    store_copy copy;
     std::int64_t last_lease = 0;
 };
 
