Cut, delay, double and reorder datagrams in the soak

Change: a library preloaded into each process replaces sendto and reads from a shared file what to do to the datagrams for each other process; the schedule has such faults between an entry and up to half of the companions, one way or both. They come from a random stream of their own. Faults that lose or delay datagrams count as faults of both machines. Result: soak_datagrams_test (6 cases) and soak_parts_test (12) pass.

--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -309,9 +309,12 @@
         at += generator.random_duration(0ms, gap * 2);
     }
     add_restorations(seed, settings, end, result);
-    for (planned_fault& fault : draw_series(seed, settings, end))
+    for (const auto draw : {draw_series, draw_datagram_faults})
     {
-        result.push_back(std::move(fault));
+        for (planned_fault& fault : draw(seed, settings, end))
+        {
+            result.push_back(std::move(fault));
+        }
     }
     std::stable_sort(
         result.begin(), result.end(),
--- a/soak/node_process.cpp
+++ b/soak/node_process.cpp
@@ -38,13 +38,17 @@
 
 void node_process::start()
 {
-    bp::environment variables = boost::this_process::environment();
-    variables[standin::settings_variable] =
+    bp::environment environment = boost::this_process::environment();
+    environment[standin::settings_variable] =
         this->folder + "/" + this->name + ".conf";
+    for (const auto& [name, value] : this->variables)
+    {
+        environment[name] = value;
+    }
     // Appends, so that the log spans restarts.
     std::FILE* log = std::fopen(this->log_file().c_str(), "a");
     this->child = std::make_unique<bp::child>(
-        this->program, this->role, variables, bp::std_out > log,
+        this->program, this->role, environment, bp::std_out > log,
         bp::std_err > log, bp::std_in < bp::null);
     std::fclose(log);
 }
--- a/soak/node_process.hpp
+++ b/soak/node_process.hpp
@@ -6,6 +6,7 @@
 #include <boost/process/child.hpp>
 
 #include <chrono>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -29,6 +30,12 @@
     node_process(const node_process&) = delete;
     node_process& operator=(const node_process&) = delete;
 
+    /// Adds an environment variable for later starts.
+    void set_variable(const std::string& name, const std::string& value)
+    {
+        this->variables[name] = value;
+    }
+
     void start();
 
     /// Sends a signal if the process is running.
@@ -51,6 +58,7 @@
     std::string role;
     std::string name;
     std::string folder;
+    std::map<std::string, std::string> variables;
     std::unique_ptr<boost::process::child> child;
 };
 
