Check that packets of open flows reach their own upstream

Cause: the rule on open flows has a second part, three or more packets at other upstreams within two seconds and none at the flow's own; the soak did not check it. A correction that no longer resets may send packets astray instead. Change: promise_checker::on_flow_packet, called for each packet that an upstream gets; what excuses a reset excuses stray packets. The stray check has not run in the soak yet.

--- a/soak/soak_network.cpp
+++ b/soak/soak_network.cpp
@@ -98,9 +98,33 @@
              slot.host->is_cold(), &slot.host->openings},
             packet->flow);
     }
+    if (!packet->flags.opens)
+    {
+        this->check_receiver(index, packet->flow);
+    }
     slot.host->on_packet(*packet, this->clients.work_of(packet->request));
 }
 
+void soak_world::check_receiver(std::size_t index, const flow_endpoints& flow)
+{
+    if (!this->clients.is_open(flow))
+    {
+        return;
+    }
+    for (std::size_t i = 0; i < this->hosts.size(); ++i)
+    {
+        const host_slot& slot = *this->hosts[i];
+        if (slot.host->holds(flow))
+        {
+            const bool is_excused =
+                this->is_disturbed(slot.node) || this->tracks[flow].was_idle;
+            this->promises.on_flow_packet(
+                this->queue.now(), flow, "host " + std::to_string(index),
+                i == index || is_excused);
+        }
+    }
+}
+
 void soak_world::check_execution(std::uint64_t request)
 {
     const int count = ++this->execution_counts[request];
--- a/soak/soak_world.hpp
+++ b/soak/soak_world.hpp
@@ -209,6 +209,8 @@
     void
     set_link_mode(std::size_t node, proxy_mode mode, std::chrono::milliseconds);
     void check_execution(std::uint64_t request);
+    /// Checks that packets of an open flow reach the upstream that holds it.
+    void check_receiver(std::size_t index, const flow_endpoints& flow);
     /// Records a fault of a process, its machine or its links.
     void disturb(std::size_t node, duration time);
     /// Restarts the deadlines of withdrawn domains: a fault delays the time at
--- a/standins/flow/promise_checker.cpp
+++ b/standins/flow/promise_checker.cpp
@@ -62,6 +62,32 @@
         now, "reset of " + to_string(flow) + ", which " + host + " holds");
 }
 
+void promise_checker::on_flow_packet(
+    time_point now,
+    const flow_endpoints& flow,
+    const std::string& host,
+    bool is_own)
+{
+    constexpr int max_strays = 2;
+    if (is_own)
+    {
+        this->strays.erase(flow);
+        return;
+    }
+    stray_packets& item = this->strays[flow];
+    if (item.count++ == 0)
+    {
+        item.since = now;
+    }
+    if (item.count > max_strays && now - item.since >= this->bounds.reorder)
+    {
+        this->report(
+            now, std::to_string(item.count) + " packets of " + to_string(flow) +
+                     " went astray, the last to " + host);
+        this->strays.erase(flow);
+    }
+}
+
 void promise_checker::on_repeated_run(time_point now, std::uint64_t request)
 {
     this->report(now, "request " + std::to_string(request) + " ran again");
--- a/standins/flow/promise_checker.hpp
+++ b/standins/flow/promise_checker.hpp
@@ -28,6 +28,8 @@
     std::chrono::milliseconds drain{3'000};
     /// New flows per second that a cold upstream can take; zero: not checked.
     double cold_flows_per_second = 0;
+    /// The packets of an open flow may go astray for less than this time.
+    std::chrono::milliseconds reorder{2'000};
 };
 
 /// State of an upstream that the checks use.
@@ -64,6 +66,14 @@
     void on_reset_of_held_flow(
         time_point now, const flow_endpoints& flow, const std::string& host);
 
+    /// A packet of an open flow reached `host`; `is_own` if that one holds it.
+    /// Reports a flow of which several packets reach only other upstreams.
+    void on_flow_packet(
+        time_point now,
+        const flow_endpoints& flow,
+        const std::string& host,
+        bool is_own);
+
     /// A request was executed by an upstream more than once.
     void on_repeated_run(time_point now, std::uint64_t request);
 
@@ -77,7 +87,15 @@
     }
 
 private:
+    /// Packets of a flow that reached other upstreams since its own got one.
+    struct stray_packets
+    {
+        time_point since;
+        int count = 0;
+    };
+
     promise_bounds bounds;
+    std::map<flow_endpoints, stray_packets> strays;
     std::map<endpoint, std::string> services;
     std::map<std::string, time_point> withdrawn_since;
     std::vector<std::string> found_violations;
