--- a/soak/node_process.cpp
+++ b/soak/node_process.cpp
@@ -20,6 +20,7 @@
 std::vector<char*> pointers_to(std::vector<std::string>& texts)
 {
     std::vector<char*> result;
+    result.reserve(texts.size() + 1);
     for (std::string& text : texts)
     {
         result.push_back(text.data());
@@ -97,7 +98,8 @@
     std::vector<std::string> environment;
     for (const auto& [variable, value] : this->variables)
     {
-        environment.push_back(variable + "=" + value);
+        environment.push_back(variable);
+        environment.back().append("=").append(value);
     }
     // Of two variables of the same name the first applies.
     for (char** variable = ::environ; *variable != nullptr; ++variable)
