--- a/soak/node_process.hpp
+++ b/soak/node_process.hpp
@@ -3,11 +3,11 @@
 
 #include "masticslip/core/types.hpp"
 
-#include <boost/process/child.hpp>
-
-#include <chrono>
-#include <memory>
+#include <map>
 #include <string>
+#include <vector>
+
+#include <sys/types.h>
 
 namespace masticslip::soak
 {
@@ -29,6 +29,12 @@
     node_process(const node_process&) = delete;
     node_process& operator=(const node_process&) = delete;
 
+    /// Adds an environment variable for later starts.
+    void set_variable(const std::string& name, const std::string& value)
+    {
+        this->variables[name] = value;
+    }
+
     void start();
 
     /// Sends a signal if the process is running.
@@ -51,7 +57,9 @@
     std::string role;
     std::string name;
     std::string folder;
-    std::unique_ptr<boost::process::child> child;
+    std::map<std::string, std::string> variables;
+    /// Zero: not running.
+    pid_t id = 0;
 };
 
 } // namespace masticslip::soak
--- a/soak/soak_world.cpp
+++ b/soak/soak_world.cpp
@@ -29,7 +29,8 @@
           this->queue,
           this->settings.seed,
           [this](const virtual_packet& packet) { this->route(packet); }),
-      store(this->context), fabric(this->context), caller_socket(this->context)
+      store(this->context), datagrams(this->settings.folder + "/datagrams"),
+      fabric(this->context), caller_socket(this->context)
 {
     this->store.page_size = 500;
     this->clients.set_first_address(this->address_of(caller_group, 1));
@@ -58,6 +59,14 @@
     slot->process = std::make_unique<node_process>(
         this->settings.program, role, machine.name, this->settings.folder,
         settings_text(machine));
+    if (!this->settings.library.empty())
+    {
+        slot->process->set_variable("LD_PRELOAD", this->settings.library);
+    }
+    slot->process->set_variable(datagram_file_variable, this->datagrams.file());
+    slot->process->set_variable(
+        datagram_process_variable, std::to_string(this->nodes.size()));
+    this->datagrams.set_address(this->nodes.size(), machine.address);
     this->node_by_address[machine.address] = this->nodes.size();
     this->nodes.push_back(std::move(slot));
     return *this->nodes.back();
@@ -211,6 +220,12 @@
     board.target = meetups_address;
     board.per_second =
         full_load_per_host * this->settings.load * this->settings.meetups;
+    // Requests with a long time limit outlast restarts on their flow.
+    request_class watch;
+    watch.name = "watch";
+    watch.target = meetups_address;
+    watch.per_second = board.per_second / 4;
+    watch.time_limit = 5'000ms;
     request_class upload;
     upload.name = "upload";
     upload.target = papers_address;
@@ -222,6 +237,7 @@
     upload.target_latency = 500ms;
     upload.time_limit = 3'000ms;
     this->clients.start(board, this->load_start + end);
+    this->clients.start(watch, this->load_start + end);
     this->clients.start(upload, this->load_start + end);
 }
 
--- a/soak/soak_world.hpp
+++ b/soak/soak_world.hpp
@@ -10,6 +10,7 @@
 /// The simulated parts run on virtual time that follows the clock. A seed
 /// reproduces faults and requests, but not the scheduling of processes.
 
+#include "datagram_faults.hpp"
 #include "fault_proxy.hpp"
 #include "flow/promise_checker.hpp"
 #include "flow/virtual_callers.hpp"
@@ -34,6 +35,9 @@
 {
     /// The masticslip_node program.
     std::string program;
+    /// The library that is preloaded into it (datagram_faults.hpp). Empty:
+    /// datagrams have no faults.
+    std::string library;
     /// Directory of settings files and logs.
     std::string folder;
     /// Second octet of all addresses, 127.network.x.y. The default depends on
@@ -88,8 +92,8 @@
 
     /// Sends SIGKILL; restarts the process `down` and a fixed delay later.
     void kill_process(std::size_t index, std::chrono::milliseconds down);
-    /// Sends SIGTERM; restarts the process once it has exited.
-    void stop_process(std::size_t index);
+    /// Sends SIGTERM; restarts the process `pause` after it has exited.
+    void stop_process(std::size_t index, std::chrono::milliseconds pause = {});
     /// Sends SIGHUP.
     void reload_process(std::size_t index);
     /// Sends SIGSTOP, and SIGCONT after `time`.
@@ -97,7 +101,20 @@
     /// Sets the fault mode of the store proxy of one process for `time`.
     void degrade_store_link(
         std::size_t index, proxy_mode mode, std::chrono::milliseconds time);
-    /// Makes the store fail for all processes for `time`.
+    /// Sets a fault of the datagrams that one process sends to another for
+    /// `time`. Faults that lose or delay datagrams disturb both machines.
+    void degrade_datagrams(
+        std::size_t from,
+        std::size_t to,
+        datagram_fault fault,
+        std::chrono::milliseconds time);
+    /// Makes the store refuse or ignore the connections of a companion for
+    /// `time` and ends its lease. A fault of the store, not of the companion's
+    /// machine.
+    void turn_companion_away(
+        std::size_t host, proxy_mode mode, std::chrono::milliseconds time);
+    /// Makes the store fail for all processes for `time`. Of overlapping faults
+    /// the newest applies.
     void inject_store_fault(
         standin::store_fault fault, std::chrono::milliseconds time);
     /// Compacts the history of the store, which ends watches of old revisions.
@@ -124,11 +141,34 @@
         return this->promises;
     }
 
+    [[nodiscard]] std::uint64_t seed() const
+    {
+        return this->settings.seed;
+    }
+
     /// Fraction of the requests sent between two times after the start of the
     /// load that were served.
     [[nodiscard]] double served_share(
         std::chrono::milliseconds from, std::chrono::milliseconds to) const;
 
+    /// Number of resets of flows that an upstream held, and of those that a
+    /// fault of the upstream or its machine excuses.
+    [[nodiscard]] std::uint64_t held_flow_resets() const
+    {
+        return this->reset_count;
+    }
+    [[nodiscard]] std::uint64_t excused_resets() const
+    {
+        return this->excused_reset_count;
+    }
+
+    /// What would break a promise if the store had been without faults: flows
+    /// whose packets go astray.
+    [[nodiscard]] const standin::promise_checker& findings() const
+    {
+        return this->tolerated;
+    }
+
     [[nodiscard]] const standin::virtual_callers& callers() const
     {
         return this->clients;
@@ -138,6 +178,15 @@
     struct node_slot;
     struct host_slot;
 
+    /// What the fabric and the checks remember of a caller's flow.
+    struct flow_track
+    {
+        std::size_t entry = 0;
+        time_point last_packet;
+        /// The flow was idle for longer than its upstream must keep it.
+        bool was_idle = false;
+    };
+
     void create_entry(std::uint32_t number);
     void create_companion(const std::string& service, std::uint32_t number);
     node_slot&
@@ -160,9 +209,19 @@
     void route(const standin::virtual_packet& packet);
     void on_host_datagram(std::size_t index, byte_view datagram);
     void on_caller_datagram(const endpoint& sender, byte_view datagram);
+    /// The entry that receives a packet, as the network fabric chooses it.
+    [[nodiscard]] std::size_t choose_entry(const flow_endpoints& flow) const;
     void check_reset(const endpoint& sender, const flow_endpoints& flow);
+    /// Sets the mode of a process's proxy until all its faults have ended.
+    void
+    set_link_mode(std::size_t node, proxy_mode mode, std::chrono::milliseconds);
     void check_execution(std::uint64_t request);
+    /// Checks that packets of an open flow reach the upstream that holds it.
+    void check_receiver(std::size_t index, const flow_endpoints& flow);
+    /// Records a fault of a process, its machine or its links.
     void disturb(std::size_t node, duration time);
+    /// Records any fault of the store.
+    void disturb_store(duration time);
     /// Restarts the deadlines of withdrawn domains: a fault delays the time at
     /// which processes learn of a withdrawal.
     void postpone_withdrawals(duration time);
@@ -172,21 +231,33 @@
     boost::asio::io_context context{1};
     standin::event_queue queue;
     standin::promise_checker promises;
+    standin::promise_checker tolerated{{}, {}};
     standin::virtual_callers clients;
     standin::store_server store;
+    datagram_faults datagrams;
+    /// End of the newest fault of datagrams by sender and receiver.
+    std::map<std::pair<std::size_t, std::size_t>, time_point>
+        datagram_fault_ends;
     datagram_socket fabric;
     datagram_socket caller_socket;
     std::vector<std::unique_ptr<node_slot>> nodes;
     std::vector<std::unique_ptr<host_slot>> hosts;
     std::map<std::uint32_t, std::size_t> node_by_address;
     std::set<std::string> withdrawn;
+    std::map<flow_endpoints, flow_track> tracks;
+    time_point store_fault_until;
+    /// Times at which faults that delay all its clients, and all its faults,
+    /// have no effect any more.
     time_point store_degraded_until;
+    time_point store_disturbed_until;
     std::chrono::steady_clock::time_point began;
     time_point load_start;
     std::uint64_t version = 0;
     /// Newest configuration document.
     std::string configuration;
     std::map<std::uint64_t, int> execution_counts;
+    std::uint64_t reset_count = 0;
+    std::uint64_t excused_reset_count = 0;
 };
 
 } // namespace masticslip::soak
