--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -309,12 +309,9 @@
         at += generator.random_duration(0ms, gap * 2);
     }
     add_restorations(seed, settings, end, result);
-    for (const auto draw : {draw_series, draw_datagram_faults})
+    for (planned_fault& fault : draw_series(seed, settings, end))
     {
-        for (planned_fault& fault : draw(seed, settings, end))
-        {
-            result.push_back(std::move(fault));
-        }
+        result.push_back(std::move(fault));
     }
     std::stable_sort(
         result.begin(), result.end(),
--- a/soak/fault_series.hpp
+++ b/soak/fault_series.hpp
@@ -15,11 +15,4 @@
     const soak_settings& settings,
     std::chrono::milliseconds end);
 
-/// Generates faults of the datagrams between entries and companions; with an
-/// even seed only doubled and reordered ones. Otherwise as draw_series().
-std::vector<planned_fault> draw_datagram_faults(
-    std::uint64_t seed,
-    const soak_settings& settings,
-    std::chrono::milliseconds end);
-
 } // namespace masticslip::soak
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -188,9 +188,9 @@
         std::cerr << "flow_soak: " << error.error() << '\n';
         return std::nullopt;
     }
-    const auto programs = std::filesystem::absolute(argv[0]).parent_path();
-    result.settings.program = (programs / "masticslip_node").string();
-    result.settings.library = (programs / "libdatagram_shim.so").string();
+    result.settings.program =
+        (std::filesystem::absolute(argv[0]).parent_path() / "masticslip_node")
+            .string();
     return result;
 }
 
--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -123,33 +123,6 @@
         });
 }
 
-void soak_world::degrade_datagrams(
-    std::size_t from,
-    std::size_t to,
-    datagram_fault fault,
-    std::chrono::milliseconds time)
-{
-    const bool is_harmless =
-        fault == datagram_fault::doubled || fault == datagram_fault::reordered;
-    if (!is_harmless)
-    {
-        this->disturb(from, time);
-        this->disturb(to, time);
-    }
-    this->datagrams.set(from, to, fault);
-    time_point& end = this->datagram_fault_ends[{from, to}];
-    end = std::max(end, this->queue.now() + time);
-    this->queue.after(
-        time,
-        [this, from, to, &end]
-        {
-            if (this->queue.now() >= end)
-            {
-                this->datagrams.set(from, to, datagram_fault::none);
-            }
-        });
-}
-
 void soak_world::turn_companion_away(
     std::size_t host, proxy_mode mode, std::chrono::milliseconds time)
 {
