Name the state of a looked-up owner apart from its id

Cause: owner named a state in a lookup and an id in an answer, and both met in one function; nothing said that the order of the states matters. Change: owner_status, and two comments. No behaviour changes.

--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -175,7 +175,8 @@
         result_code last_refusal = result_code::not_run_no_upstream;
     };
 
-    /// What is known of the owner of a flow that is looked up.
+    /// What is known of the owner of a flow that is looked up. A later value
+    /// prevails over an earlier one.
     enum class owner_state : std::uint8_t
     {
         unknown,
@@ -192,7 +193,7 @@
         std::vector<bytes> packets;
         std::uint32_t acknowledged = 0;
         bool has_payload = false;
-        owner_state owner = owner_state::unknown;
+        owner_state owner_status = owner_state::unknown;
         time_point started;
         time_point deadline;
         std::vector<instance_id> pending;
@@ -304,9 +305,10 @@
     /// Number of companions of a service for hellos; zero if not known.
     [[nodiscard]] std::uint32_t stated_size(service_id service) const;
     /// True if the entry has read the store's list, all companions of the
-    /// service that it knows have reported, and none reports that there are
-    /// more. Otherwise a companion that the entry does not know may hold a flow
-    /// that all others do not hold.
+    /// service that it knows have reported, and there can be no others: it
+    /// knows as many as entries state, or the list is whole. Otherwise a
+    /// companion that the entry does not know may hold a flow that all others
+    /// do not hold.
     [[nodiscard]] bool
     knows_all_companions(time_point now, service_id service) const;
     void expire_openings(time_point now);
--- a/src/flow/entry_lookups.cpp
+++ b/src/flow/entry_lookups.cpp
@@ -60,7 +60,7 @@
     const bool is_new = known == this->lookups.end();
     owner_lookup& item = this->lookups[packet.flow];
     item.acknowledged = packet.acknowledged;
-    item.owner = std::max(item.owner, owner);
+    item.owner_status = std::max(item.owner_status, owner);
     item.has_payload = item.has_payload || packet.payload_size > 0;
     if (item.packets.size() < max_held_packets)
     {
@@ -155,7 +155,7 @@
     }
     if (has_hint)
     {
-        item.owner = owner_state::unreachable;
+        item.owner_status = owner_state::unreachable;
         this->send_first_hello(item.service, message.owner);
     }
     remove(item.pending, sender);
@@ -231,7 +231,7 @@
 bool entry_flow_core::is_held_by_none(
     time_point now, const owner_lookup& item) const
 {
-    switch (item.owner)
+    switch (item.owner_status)
     {
     case owner_state::departed:
         return item.pending.empty();
@@ -270,8 +270,8 @@
            " reported=" + std::to_string(reported) +
            " absent=" + std::to_string(item.absent.size()) +
            " unanswered=" + std::to_string(item.pending.size()) + " owner=" +
-           std::string(
-               owner_state_names.at(static_cast<std::size_t>(item.owner))) +
+           std::string(owner_state_names.at(
+               static_cast<std::size_t>(item.owner_status))) +
            " settled=" + std::to_string(this->is_settled(now)) +
            " policy_known_ms=" + std::to_string(policy_age.count());
 }
