Query all services before the caller of an open flow is reset

Callers saw an open flow reset when the configuration let its route name another service and the flow then came to an entry that had not placed it. Cause: a lookup asks the companions of the service that the route names now, and their absence counted as the absence of the flow. The route of the time at which the flow was opened is known to none: an entry may have started since, or hold an older policy than the one that placed the flow. Change: before a reset the companions of all other services are queried, under the same conditions. One that cannot tell prevents the reset, but its upstream is not probed. Flows that are found in the route's service cost no query more.

--- a/include/masticslip/flow/companion_directory.hpp
+++ b/include/masticslip/flow/companion_directory.hpp
@@ -92,6 +92,9 @@
     [[nodiscard]] const std::vector<instance_id>&
     of_service(service_id service) const;
 
+    /// Services that have companions, in id order.
+    [[nodiscard]] std::vector<service_id> services() const;
+
     /// All members by id.
     [[nodiscard]] std::map<instance_id, directory_member>& all()
     {
--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -189,7 +189,11 @@
     /// A lookup of the owner of a flow.
     struct owner_lookup
     {
+        /// Service of the flow's route.
         service_id service;
+        /// Companions of all services are queried. The route may have named
+        /// another service when the flow was opened.
+        bool covers_all_services = false;
         std::vector<bytes> packets;
         std::uint32_t acknowledged = 0;
         bool has_payload = false;
@@ -267,9 +271,26 @@
     /// True if the lookup has shown that no upstream holds the flow.
     [[nodiscard]] bool
     is_held_by_none(time_point now, const owner_lookup& item) const;
+    [[nodiscard]] std::vector<service_id>
+    services_of(const owner_lookup& item) const;
     /// Queries the next companions by rank.
     void query_companions(
         time_point now, const flow_endpoints& flow, owner_lookup& item);
+    /// Adds the unqueried ones of the `width` highest-ranked companions.
+    void add_pending(
+        time_point now,
+        service_id service,
+        const flow_endpoints& flow,
+        std::size_t width,
+        owner_lookup& item) const;
+    /// Companions of the route's service that cannot tell whether they hold
+    /// the flow.
+    [[nodiscard]] std::vector<instance_id>
+    possible_owners(const owner_lookup& item) const;
+    /// Queries the companions of all other services if otherwise the caller
+    /// would be reset. Returns true if there are any.
+    [[nodiscard]] bool query_other_services(
+        time_point now, const flow_endpoints& flow, owner_lookup& item);
     void finish_lookup(time_point now, const flow_endpoints& flow);
     /// What a lookup has found, for logs.
     [[nodiscard]] std::string
--- a/src/flow/companion_directory.cpp
+++ b/src/flow/companion_directory.cpp
@@ -123,6 +123,20 @@
     return found == this->by_service.end() ? none : found->second;
 }
 
+std::vector<service_id> companion_directory::services() const
+{
+    std::vector<service_id> result;
+    for (const auto& [service, ids] : this->by_service)
+    {
+        if (!ids.empty())
+        {
+            result.push_back(service);
+        }
+    }
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
 bool companion_directory::is_gone(instance_id id) const
 {
     const directory_member* target = this->find(id);
--- a/src/flow/entry_lookups.cpp
+++ b/src/flow/entry_lookups.cpp
@@ -92,11 +92,16 @@
 void entry_flow_core::query_companions(
     time_point now, const flow_endpoints& flow, owner_lookup& item)
 {
-    const std::size_t service_size =
-        this->directory.of_service(item.service).size();
+    const std::vector<service_id> services = this->services_of(item);
+    std::size_t largest_service = 0;
+    for (const service_id service : services)
+    {
+        largest_service = std::max(
+            largest_service, this->directory.of_service(service).size());
+    }
     std::size_t width = 0;
     while (item.pending.empty() && item.rounds <= max_rounds &&
-           width < service_size)
+           width < largest_service)
     {
         // The first round queries the companions that were sent hints.
         width = item.rounds == 0 ? hint_count : item.rounds * lookup_width;
@@ -104,15 +109,9 @@
             now + (item.rounds == 0 ? hint_query_timeout : lookup_timeout);
         this->arm_timer(item.deadline);
         ++item.rounds;
-        const auto ids = this->ranked_companions(item.service, flow, width);
-        for (const instance_id id : ids)
+        for (const service_id service : services)
         {
-            const directory_member& member = *this->directory.find(id);
-            if (!contains(item.absent, id) && !contains(item.uncertain, id) &&
-                counts_as_present(now, member))
-            {
-                item.pending.push_back(id);
-            }
+            this->add_pending(now, service, flow, width, item);
         }
     }
     const owner_query query{flow, item.acknowledged};
@@ -123,6 +122,31 @@
     }
 }
 
+std::vector<service_id>
+entry_flow_core::services_of(const owner_lookup& item) const
+{
+    return item.covers_all_services ? this->directory.services()
+                                    : std::vector<service_id>{item.service};
+}
+
+void entry_flow_core::add_pending(
+    time_point now,
+    service_id service,
+    const flow_endpoints& flow,
+    std::size_t width,
+    owner_lookup& item) const
+{
+    for (const instance_id id : this->ranked_companions(service, flow, width))
+    {
+        const directory_member& member = *this->directory.find(id);
+        if (!contains(item.absent, id) && !contains(item.uncertain, id) &&
+            counts_as_present(now, member))
+        {
+            item.pending.push_back(id);
+        }
+    }
+}
+
 void entry_flow_core::on_answer(
     time_point now, instance_id sender, const owner_answer& message)
 {
@@ -188,11 +212,15 @@
             return;
         }
     }
-    if (!item.uncertain.empty())
+    const std::vector<instance_id> possible = this->possible_owners(item);
+    if (!possible.empty())
+    {
+        const std::size_t index = hash_flow_endpoints(flow) % possible.size();
+        this->assign_owner(now, flow, possible[index], false);
+        return;
+    }
+    if (this->query_other_services(now, flow, item))
     {
-        const std::size_t index =
-            hash_flow_endpoints(flow) % item.uncertain.size();
-        this->assign_owner(now, flow, item.uncertain[index], false);
         return;
     }
     const bool resets_caller =
@@ -212,19 +240,55 @@
     this->lookups.erase(flow);
 }
 
+std::vector<instance_id>
+entry_flow_core::possible_owners(const owner_lookup& item) const
+{
+    std::vector<instance_id> result;
+    for (const instance_id id : item.uncertain)
+    {
+        const directory_member* member = this->directory.find(id);
+        // Upstreams of other services are not probed.
+        if (member != nullptr && member->service == item.service)
+        {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+bool entry_flow_core::query_other_services(
+    time_point now, const flow_endpoints& flow, owner_lookup& item)
+{
+    const bool is_required = item.has_payload && !item.covers_all_services &&
+                             item.owner_status == owner_state::unknown &&
+                             this->is_held_by_none(now, item);
+    if (!is_required)
+    {
+        return false;
+    }
+    item.covers_all_services = true;
+    item.rounds = 0;
+    this->query_companions(now, flow, item);
+    return !item.pending.empty();
+}
+
 bool entry_flow_core::has_unqueried(
     time_point now, const owner_lookup& item) const
 {
-    const auto& ids = this->directory.of_service(item.service);
+    const auto is_unqueried = [this, now, &item](instance_id id)
+    {
+        const bool is_queried = contains(item.absent, id) ||
+                                contains(item.uncertain, id) ||
+                                contains(item.pending, id);
+        return !is_queried && counts_as_present(now, *this->directory.find(id));
+    };
+    const std::vector<service_id> services = this->services_of(item);
     return std::any_of(
-        ids.begin(), ids.end(),
-        [this, now, &item](instance_id id)
+        services.begin(), services.end(),
+        [this, &is_unqueried](service_id service)
         {
-            const bool is_queried = contains(item.absent, id) ||
-                                    contains(item.uncertain, id) ||
-                                    contains(item.pending, id);
-            return !is_queried &&
-                   counts_as_present(now, *this->directory.find(id));
+            const auto& ids = this->directory.of_service(service);
+            return std::any_of(ids.begin(), ids.end(), is_unqueried);
         });
 }
 
@@ -240,10 +304,14 @@
     case owner_state::unknown:
         break;
     }
+    const std::vector<service_id> services = this->services_of(item);
     // Silence of a companion is no evidence that its upstream has lost a flow.
-    return item.pending.empty() && !item.absent.empty() &&
-           !this->has_unqueried(now, item) &&
-           this->knows_all_companions(now, item.service);
+    return item.pending.empty() && item.uncertain.empty() &&
+           !item.absent.empty() && !this->has_unqueried(now, item) &&
+           std::all_of(
+               services.begin(), services.end(),
+               [this, now](service_id service)
+               { return this->knows_all_companions(now, service); });
 }
 
 std::string
@@ -253,22 +321,30 @@
     std::size_t left = 0;
     std::size_t listed = 0;
     std::uint32_t reported = 0;
-    for (const instance_id id : this->directory.of_service(item.service))
+    const std::vector<service_id> services = this->services_of(item);
+    for (const service_id service : services)
     {
-        const directory_member& member = *this->directory.find(id);
-        ++known;
-        left += member.has_left ? 1 : 0;
-        listed += member.is_listed ? 1 : 0;
-        reported = std::max(reported, member.reported_service_size);
+        std::uint32_t size = 0;
+        for (const instance_id id : this->directory.of_service(service))
+        {
+            const directory_member& member = *this->directory.find(id);
+            ++known;
+            left += member.has_left ? 1 : 0;
+            listed += member.is_listed ? 1 : 0;
+            size = std::max(size, member.reported_service_size);
+        }
+        reported += size;
     }
     const auto policy_age =
         std::chrono::duration_cast<std::chrono::milliseconds>(
             now - this->first_policy_at);
-    return "known=" + std::to_string(known) +
+    return "services=" + std::to_string(services.size()) +
+           " known=" + std::to_string(known) +
            " listed=" + std::to_string(listed) +
            " left=" + std::to_string(left) +
            " reported=" + std::to_string(reported) +
            " absent=" + std::to_string(item.absent.size()) +
+           " uncertain=" + std::to_string(item.uncertain.size()) +
            " unanswered=" + std::to_string(item.pending.size()) + " owner=" +
            std::string(owner_state_names.at(
                static_cast<std::size_t>(item.owner_status))) +
--- a/tests/flow/entry_evidence_test.cpp
+++ b/tests/flow/entry_evidence_test.cpp
@@ -21,6 +21,29 @@
     return report;
 }
 
+/// Companions 1 and 2 serve "meetups", 3 and 4 "papers", which the route names
+/// from version 8 on. Flow 1 was opened at companion 1 through another entry,
+/// before the change.
+struct changed_route_fixture : entry_fixture
+{
+    changed_route_fixture()
+    {
+        this->make_ready(2);
+        for (const std::uint16_t i : {3, 4})
+        {
+            companion_report report = ready_report(i);
+            report.service = "papers";
+            this->core.on_message(at(0ms), companion(i), report);
+        }
+        configuration changed = test_policy(8)->value();
+        changed.routes[0].service = "papers";
+        this->core.on_policy(
+            at(1ms),
+            std::make_shared<policy>(store_position{0, 8}, std::move(changed)));
+        this->output.sent.clear();
+    }
+};
+
 } // namespace
 
 // An entry starts: companion 1 is known before the others, of which one holds
@@ -72,26 +95,62 @@
 // route.
 BOOST_FIXTURE_TEST_CASE(
     an_open_flow_is_not_reset_because_its_route_now_names_another_service,
-    entry_fixture)
+    changed_route_fixture)
 {
-    make_ready(2);
-    for (const std::uint16_t i : {3, 4})
-    {
-        companion_report report = ready_report(i);
-        report.service = "papers";
-        core.on_message(at(0ms), companion(i), report);
-    }
-    configuration changed = test_policy(8)->value();
-    changed.routes[0].service = "papers";
-    core.on_policy(
-        at(1ms),
-        std::make_shared<policy>(store_position{0, 8}, std::move(changed)));
-    // Opened at companion 1 through another entry, before the change.
     core.on_caller_packet(at(2ms), data_packet(test_flow(1), 1'001, 2));
     answer_absent(3ms, {3, 4}, test_flow(1));
     BOOST_TEST(output.resets.empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    an_open_flow_is_found_in_the_service_that_its_route_named_before,
+    changed_route_fixture)
+{
+    core.on_caller_packet(at(2ms), data_packet(test_flow(1), 1'001, 2));
+    answer_absent(3ms, {3, 4, 2}, test_flow(1));
+    core.on_message(
+        at(4ms), companion(1), owner_answer{test_flow(1), ownership::owned});
+    BOOST_REQUIRE(output.packets.size() == 1U);
+    BOOST_TEST(
+        to_string(output.packets[0]) == to_string(companion_packet_address(1)));
+}
+
+// Companion 1 has restarted and cannot tell. Its upstream is of another service
+// and must not see packets of flows that it may never have had.
+BOOST_FIXTURE_TEST_CASE(
+    a_companion_of_another_service_that_cannot_tell_prevents_a_reset,
+    changed_route_fixture)
+{
+    core.on_caller_packet(at(2ms), data_packet(test_flow(1), 1'001, 2));
+    answer_absent(3ms, {3, 4, 2}, test_flow(1));
+    core.on_message(
+        at(4ms), companion(1),
+        owner_answer{test_flow(1), ownership::uncertain});
+    BOOST_TEST(output.resets.empty());
+    BOOST_TEST(output.packets.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_flow_that_no_companion_of_any_service_holds_is_reset,
+    changed_route_fixture)
+{
+    core.on_caller_packet(at(2ms), data_packet(test_flow(1), 1'001, 2));
+    answer_absent(3ms, {3, 4, 1, 2}, test_flow(1));
+    BOOST_TEST(output.resets.size() == 1U);
+}
+
+// Other services are queried only before a reset.
+BOOST_FIXTURE_TEST_CASE(
+    other_services_are_not_queried_for_a_flow_that_its_own_holds,
+    changed_route_fixture)
+{
+    core.on_caller_packet(at(2ms), data_packet(test_flow(1), 1'001, 2));
+    answer_absent(3ms, {3}, test_flow(1));
+    core.on_message(
+        at(3ms), companion(4), owner_answer{test_flow(1), ownership::owned});
+    BOOST_TEST(messages_of<owner_query>(output.sent).size() == 2U);
+}
+
 // The flow was opened through an entry that had the route's version already.
 BOOST_FIXTURE_TEST_CASE(
     an_open_flow_is_not_reset_by_an_entry_that_has_not_read_its_route_yet,
