Let a new companion not stand in for one that an entry does not know

Callers may have seen an open flow reset within some two hello intervals of a companion's start, by an entry that lacked another companion. Cause: an entry compared the number of companions that it knows with the number that others state. A companion that joined after the statement made up for one that the entry did not know: numbers were compared, not companions. Change: only companions that report a number themselves are counted, and such a number counts its receiver: an entry recounts before it greets a new companion, states none to one that only others know, and a companion forgets what was stated before or while it had left. Whoever is counted here is therefore within the number that it reports, and so is any companion that entries know then.

--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -234,6 +234,10 @@
     on_hello(time_point now, instance_id sender, const entry_hello& message);
     /// Largest number of companions of the service that was stated recently.
     [[nodiscard]] std::uint32_t service_size(time_point now) const;
+    /// True if the upstream has departed permanently, as far as is known.
+    [[nodiscard]] bool has_left(time_point now) const;
+    /// Forgets the stated numbers, which do not count this companion.
+    void forget_service_sizes();
     [[nodiscard]] companion_report report(time_point now);
     void send_reports(time_point now);
     /// Sends a report to one refused entry for each free slot.
--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -310,7 +310,7 @@
         time_point now, instance_id sender, const companion_report& message);
     void send_hello(time_point now, directory_member& member);
     /// Greets a companion that only others know; its report makes it known.
-    void send_first_hello(service_id service, instance_id id);
+    void send_first_hello(instance_id id);
     void send_hello_to_all(time_point now);
     /// Sends hellos that are due and marks companions that do not answer.
     void send_due_hellos(time_point now);
@@ -322,6 +322,8 @@
     /// True once all companions must have registered since the entry has read
     /// the store's list.
     [[nodiscard]] bool is_settled(time_point now) const;
+    /// Call before a new companion is sent a hello: the number that it is told
+    /// must count it.
     void update_stated_sizes(time_point now);
     /// Number of companions of a service for hellos; zero if not known.
     [[nodiscard]] std::uint32_t stated_size(service_id service) const;
--- a/src/flow/companion_admission.cpp
+++ b/src/flow/companion_admission.cpp
@@ -242,15 +242,20 @@
     result.policy = this->current_policy().mark();
     result.entry_count = static_cast<std::uint32_t>(this->entries.size());
     result.is_stopping = this->stopping;
-    // A companion that stops after its upstream has ended does not return.
-    result.has_left = this->upstream_is_down(now) &&
-                      (this->stopping || this->monitor.has_departed() ||
-                       this->monitor.may_have_departed());
+    result.has_left = this->has_left(now);
     result.service_size = this->service_size(now);
     result.is_registration_continuous = this->is_registration_continuous;
     return result;
 }
 
+bool companion_flow_core::has_left(time_point now) const
+{
+    // A companion that stops after its upstream has ended does not return.
+    return this->upstream_is_down(now) &&
+           (this->stopping || this->monitor.has_departed() ||
+            this->monitor.may_have_departed());
+}
+
 std::uint32_t companion_flow_core::service_size(time_point now) const
 {
     std::uint32_t result = 0;
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -218,7 +218,8 @@
 {
     known_entry& entry = this->entries[sender];
     entry.last_hello_at = now;
-    if (message.service_size != 0)
+    // Entries do not count a companion that has left.
+    if (message.service_size != 0 && !this->has_left(now))
     {
         entry.service_size = message.service_size;
         entry.service_size_stated_at = now;
@@ -244,6 +245,14 @@
     this->output.send(sender, this->report(now));
 }
 
+void companion_flow_core::forget_service_sizes()
+{
+    for (auto& [id, entry] : this->entries)
+    {
+        entry.service_size = 0;
+    }
+}
+
 void companion_flow_core::on_tick(time_point now)
 {
     this->observe(now);
@@ -251,6 +260,10 @@
     {
         this->on_policy_changed(now);
     }
+    if (this->has_left(now))
+    {
+        this->forget_service_sizes();
+    }
     const result_code refusal = this->monitor.refusal(now);
     if (refusal != this->last_refusal)
     {
--- a/src/flow/entry_members.cpp
+++ b/src/flow/entry_members.cpp
@@ -133,6 +133,10 @@
     const bool is_new = this->directory.on_report(now, sender, message);
     this->has_received_report = true;
     this->retry_waiting_openings(now, message.load);
+    if (is_new)
+    {
+        this->update_stated_sizes(now);
+    }
     if (is_new || was_silent)
     {
         this->emit(
@@ -165,12 +169,9 @@
                               this->stated_size(member.service)});
 }
 
-void entry_flow_core::send_first_hello(service_id service, instance_id id)
+void entry_flow_core::send_first_hello(instance_id id)
 {
-    this->output.send(
-        id,
-        entry_hello{
-            this->current_policy().mark(), true, this->stated_size(service)});
+    this->output.send(id, entry_hello{this->current_policy().mark(), true, 0});
 }
 
 void entry_flow_core::send_due_hellos(time_point now)
@@ -256,7 +257,9 @@
         {
             return false;
         }
-        ++known;
+        // A companion without a number joined after the others' were stated,
+        // and must not stand in for one that is not known.
+        known += member.reported_service_size != 0 ? 1 : 0;
         reported = std::max(reported, member.reported_service_size);
         are_registrations_kept = are_registrations_kept && member.is_listed &&
                                  member.is_registration_continuous;
--- a/tests/flow/companion_flow_core_test.cpp
+++ b/tests/flow/companion_flow_core_test.cpp
@@ -438,6 +438,31 @@
     BOOST_TEST(reported_size(6'100ms, entry, 6) == 6U);
 }
 
+// A number that does not count this companion would let it stand in for one
+// that an entry does not know.
+BOOST_FIXTURE_TEST_CASE(
+    a_companion_that_returns_reports_no_number_from_before, companion_fixture)
+{
+    make_ready();
+    const auto reported_size =
+        [this](std::chrono::milliseconds now, unsigned stated)
+    {
+        output.sent.clear();
+        core.on_message(at(now), entry, entry_hello{mark_at(7), true, stated});
+        return messages_of<companion_report>(output.sent).at(0).service_size;
+    };
+    BOOST_TEST(reported_size(0ms, 7) == 7U);
+    core.on_departure(at(10ms), {"i-1", 1'000'000ms});
+    core.on_tick(at(250ms));
+    BOOST_TEST(reported_size(300ms, 6) == 0U);
+
+    upstream_status status = ready_status(1);
+    status.incarnation.started = 2'000'000ms;
+    core.on_status(at(400ms), status);
+    BOOST_TEST(reported_size(410ms, 0) == 0U);
+    BOOST_TEST(reported_size(420ms, 7) == 7U);
+}
+
 BOOST_FIXTURE_TEST_CASE(
     an_accepted_flow_survives_a_long_pause_before_its_first_request,
     companion_fixture)
--- a/tests/flow/entry_evidence_test.cpp
+++ b/tests/flow/entry_evidence_test.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <map>
+
 using namespace masticslip;
 using namespace masticslip::test;
 
@@ -196,6 +198,45 @@
     BOOST_TEST(output.resets.empty());
 }
 
+// Guard for the case above: a number that a companion reports counts it.
+BOOST_FIXTURE_TEST_CASE(
+    a_new_companion_is_told_a_number_that_counts_it, entry_fixture)
+{
+    make_ready(2);
+    report_from({1, 2}, 0ms, 250ms);
+    output.sent.clear();
+    core.on_listed(at(260ms), registration(3));
+    core.on_message(at(270ms), companion(4), ready_report(4));
+    core.on_policy(at(280ms), test_policy(8));
+    std::map<instance_id, std::uint32_t> stated;
+    for (const sent_message& message : output.sent)
+    {
+        if (const auto* hello = std::get_if<entry_hello>(&message.body))
+        {
+            stated.emplace(message.to, hello->service_size);
+        }
+    }
+    BOOST_TEST(stated[companion(3)] == 3U);
+    BOOST_TEST(stated[companion(4)] == 4U);
+}
+
+// Guard for the case above: the entry does not know the companions of which
+// only others know one.
+BOOST_FIXTURE_TEST_CASE(
+    a_companion_that_only_others_know_is_told_no_number, entry_fixture)
+{
+    make_ready(2);
+    report_from({1, 2}, 0ms, 250ms);
+    core.on_caller_packet(at(251ms), data_packet(test_flow(1), 1'001, 2));
+    output.sent.clear();
+    core.on_message(
+        at(252ms), companion(1),
+        owner_answer{test_flow(1), ownership::absent, companion(9)});
+    const auto hellos = messages_of<entry_hello>(output.sent);
+    BOOST_REQUIRE(hellos.size() == 1U);
+    BOOST_TEST(hellos[0].service_size == 0U);
+}
+
 // The entry's process was suspended for 8 s. The store does not list companion
 // 1, whose reports wait in the entry's socket.
 BOOST_FIXTURE_TEST_CASE(
