Ignore restarted companions of services that a route never named

Callers of a flow that no upstream holds would have waited for ever. Change: it counts only if the route named its service within the age limit of flows. The entry remembers former services as it did removed targets. What stays open: an entry that started after the change of the route, together with a restarted companion of the former service. Measured: the two new cases of entry_evidence fail before the change in src/ and pass after it.

--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -210,8 +210,8 @@
     using flow_table = boost::
         unordered_flat_map<flow_endpoints, Value, std::hash<flow_endpoints>>;
 
-    /// Remembers the targets that the policy in force lacks.
-    void record_removed_targets(time_point now, const policy& previous);
+    /// Remembers the services that routes no longer name.
+    void record_former_services(time_point now, const policy& previous);
     void on_packet_without_route(time_point now, const flow_packet& packet);
     void on_opening(time_point now, const flow_packet& packet);
     void place(time_point now, const flow_endpoints& flow, opening& item);
@@ -269,8 +269,15 @@
     [[nodiscard]] bool
     has_unqueried(time_point now, const owner_lookup& item) const;
     /// True if the lookup has shown that no upstream holds the flow.
-    [[nodiscard]] bool
-    is_held_by_none(time_point now, const owner_lookup& item) const;
+    [[nodiscard]] bool is_held_by_none(
+        time_point now,
+        const flow_endpoints& flow,
+        const owner_lookup& item) const;
+    /// True if the companion is of a service that the flow's route named
+    /// before.
+    [[nodiscard]] bool is_of_former_service(
+        const flow_endpoints& flow, instance_id companion) const;
+    void expire_former_services(time_point now);
     [[nodiscard]] std::vector<service_id>
     services_of(const owner_lookup& item) const;
     /// Queries the next companions by rank.
@@ -356,8 +363,9 @@
     const placement_rule* placement;
     policy_succession policies;
     time_point first_policy_at;
-    /// Targets whose routes were removed within the age limit of flows.
-    std::map<endpoint, time_point> removed_targets;
+    /// Services that the route of a target named within the age limit of flows
+    /// and names no more, with the time of the change.
+    std::map<endpoint, std::map<service_id, time_point>> former_services;
     companion_directory directory;
     flow_table<flow_record> flows;
     flow_table<opening> openings;
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -49,29 +49,56 @@
     }
     if (result.contents_changed)
     {
-        this->record_removed_targets(now, *previous);
+        this->record_former_services(now, *previous);
         this->on_policy_changed(now);
     }
 }
 
-void entry_flow_core::record_removed_targets(
+void entry_flow_core::record_former_services(
     time_point now, const policy& previous)
 {
     for (const route_definition& route : previous.value().routes)
     {
-        if (this->current_policy().find_route(route.address) == nullptr)
+        const route_definition* current =
+            this->current_policy().find_route(route.address);
+        if (current == nullptr || current->service != route.service)
         {
-            this->removed_targets[route.address] = now;
+            this->former_services[route.address]
+                                 [make_service_id(route.service)] = now;
         }
     }
 }
 
+bool entry_flow_core::is_of_former_service(
+    const flow_endpoints& flow, instance_id companion) const
+{
+    const auto found = this->former_services.find(flow.target);
+    const directory_member* member = this->directory.find(companion);
+    return found != this->former_services.end() && member != nullptr &&
+           found->second.contains(member->service);
+}
+
+void entry_flow_core::expire_former_services(time_point now)
+{
+    const auto is_expired = [this, now](const auto& item)
+    {
+        return now - item.second > this->settings.flow_age_limit;
+    };
+    for (auto& [target, services] : this->former_services)
+    {
+        std::erase_if(services, is_expired);
+    }
+    std::erase_if(
+        this->former_services,
+        [](const auto& item) { return item.second.empty(); });
+}
+
 void entry_flow_core::on_packet_without_route(
     time_point now, const flow_packet& packet)
 {
     this->flows.erase(packet.flow);
     // A policy that is older than the flow lacks its route, too.
-    const bool is_removed = this->removed_targets.contains(packet.flow.target);
+    const bool is_removed = this->former_services.contains(packet.flow.target);
     if (!packet.flags.resets && (packet.is_opening() || is_removed))
     {
         this->emit(
@@ -265,9 +292,7 @@
         this->next_sweep = now + sweep_interval;
         this->expire_flows(now);
         this->remove_stale_members(now);
-        std::erase_if(
-            this->removed_targets, [this, now](const auto& item)
-            { return now - item.second > this->settings.flow_age_limit; });
+        this->expire_former_services(now);
     }
 }
 
--- a/src/flow/entry_lookups.cpp
+++ b/src/flow/entry_lookups.cpp
@@ -224,7 +224,7 @@
         return;
     }
     const bool resets_caller =
-        item.has_payload && this->is_held_by_none(now, item);
+        item.has_payload && this->is_held_by_none(now, flow, item);
     this->emit(
         now,
         resets_caller ? flow_event_kind::flow_reset
@@ -261,7 +261,7 @@
 {
     const bool is_required = item.has_payload && !item.covers_all_services &&
                              item.owner_status == owner_state::unknown &&
-                             this->is_held_by_none(now, item);
+                             this->is_held_by_none(now, flow, item);
     if (!is_required)
     {
         return false;
@@ -293,7 +293,7 @@
 }
 
 bool entry_flow_core::is_held_by_none(
-    time_point now, const owner_lookup& item) const
+    time_point now, const flow_endpoints& flow, const owner_lookup& item) const
 {
     switch (item.owner_status)
     {
@@ -305,8 +305,13 @@
         break;
     }
     const std::vector<service_id> services = this->services_of(item);
+    // A companion that has restarted cannot tell as long as its upstream lives.
+    const bool may_be_at_former_service = std::any_of(
+        item.uncertain.begin(), item.uncertain.end(),
+        [this, &flow](instance_id id)
+        { return this->is_of_former_service(flow, id); });
     // Silence of a companion is no evidence that its upstream has lost a flow.
-    return item.pending.empty() && item.uncertain.empty() &&
+    return item.pending.empty() && !may_be_at_former_service &&
            !item.absent.empty() && !this->has_unqueried(now, item) &&
            std::all_of(
                services.begin(), services.end(),
--- a/tests/flow/entry_evidence_test.cpp
+++ b/tests/flow/entry_evidence_test.cpp
@@ -132,6 +132,48 @@
     BOOST_TEST(output.packets.empty());
 }
 
+// Companion 5 has restarted and cannot tell as long as its upstream lives. The
+// route never named its service.
+BOOST_FIXTURE_TEST_CASE(
+    a_restarted_companion_of_an_unrelated_service_prevents_no_reset,
+    changed_route_fixture)
+{
+    companion_report report = ready_report(5);
+    report.service = "tickets";
+    core.on_message(at(1ms), companion(5), report);
+    core.on_caller_packet(at(2ms), data_packet(test_flow(1), 1'001, 2));
+    answer_absent(3ms, {3, 4, 1, 2}, test_flow(1));
+    core.on_message(
+        at(4ms), companion(5),
+        owner_answer{test_flow(1), ownership::uncertain});
+    BOOST_TEST(output.resets.size() == 1U);
+    BOOST_TEST(output.packets.empty());
+}
+
+// A flow does not outlive the change of its route by more than its age limit.
+BOOST_FIXTURE_TEST_CASE(
+    a_restarted_companion_of_a_former_service_prevents_no_reset_for_ever,
+    changed_route_fixture)
+{
+    std::chrono::milliseconds now = 0ms;
+    for (; now <= 61'000ms; now += 250ms)
+    {
+        for (const std::uint16_t i : {1, 2, 3, 4})
+        {
+            companion_report report = ready_report(i);
+            report.service = i <= 2 ? "meetups" : "papers";
+            core.on_message(at(now), companion(i), report);
+        }
+        core.on_tick(at(now));
+    }
+    core.on_caller_packet(at(now), data_packet(test_flow(1), 1'001, 2));
+    answer_absent(now, {3, 4, 2}, test_flow(1));
+    core.on_message(
+        at(now), companion(1),
+        owner_answer{test_flow(1), ownership::uncertain});
+    BOOST_TEST(output.resets.size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(
     a_flow_that_no_companion_of_any_service_holds_is_reset,
     changed_route_fixture)
