Ask only services that the route has named; count companions that were counted

Change: before a reset the companions of those services are asked that the route named within the age limit of flows, as this process saw it; a companion stays counted until it leaves; entries recount when one returns; a departure forgets what was stated; a service without known companions is known only after 3 s. Price: an entry that started after the change of a route does not know the former service.

--- a/include/masticslip/flow/companion_directory.hpp
+++ b/include/masticslip/flow/companion_directory.hpp
@@ -43,6 +43,9 @@
     std::uint32_t unreported_placements = 0;
     /// Number of companions of its service that it has last reported.
     std::uint32_t reported_service_size = 0;
+    /// It has reported such a number since it became known or has returned:
+    /// entries count it.
+    bool is_counted = false;
     /// Its registration was not lost recently, according to its last report.
     bool is_registration_continuous = false;
     /// Opening packets not answered in time since the newest load.
@@ -92,9 +95,6 @@
     [[nodiscard]] const std::vector<instance_id>&
     of_service(service_id service) const;
 
-    /// Services that have companions, in id order.
-    [[nodiscard]] std::vector<service_id> services() const;
-
     /// All members by id.
     [[nodiscard]] std::map<instance_id, directory_member>& all()
     {
--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -191,9 +191,9 @@
     {
         /// Service of the flow's route.
         service_id service;
-        /// Companions of all services are queried. The route may have named
-        /// another service when the flow was opened.
-        bool covers_all_services = false;
+        /// Companions of services that the route named before are queried, too:
+        /// the flow may have been opened then.
+        bool covers_former_services = false;
         std::vector<bytes> packets;
         std::uint32_t acknowledged = 0;
         bool has_payload = false;
@@ -266,20 +266,19 @@
         owner_state owner = owner_state::unknown);
     /// True if a companion that is present was not queried. It may have become
     /// known during the lookup.
-    [[nodiscard]] bool
-    has_unqueried(time_point now, const owner_lookup& item) const;
+    [[nodiscard]] bool has_unqueried(
+        time_point now,
+        const flow_endpoints& flow,
+        const owner_lookup& item) const;
     /// True if the lookup has shown that no upstream holds the flow.
     [[nodiscard]] bool is_held_by_none(
         time_point now,
         const flow_endpoints& flow,
         const owner_lookup& item) const;
-    /// True if the companion is of a service that the flow's route named
-    /// before.
-    [[nodiscard]] bool is_of_former_service(
-        const flow_endpoints& flow, instance_id companion) const;
     void expire_former_services(time_point now);
+    /// Services whose companions are queried.
     [[nodiscard]] std::vector<service_id>
-    services_of(const owner_lookup& item) const;
+    services_of(const flow_endpoints& flow, const owner_lookup& item) const;
     /// Queries the next companions by rank.
     void query_companions(
         time_point now, const flow_endpoints& flow, owner_lookup& item);
@@ -294,14 +293,16 @@
     /// the flow.
     [[nodiscard]] std::vector<instance_id>
     possible_owners(const owner_lookup& item) const;
-    /// Queries the companions of all other services if otherwise the caller
-    /// would be reset. Returns true if there are any.
-    [[nodiscard]] bool query_other_services(
+    /// Queries the companions of former services if otherwise the caller would
+    /// be reset. Returns true if there are any.
+    [[nodiscard]] bool query_former_services(
         time_point now, const flow_endpoints& flow, owner_lookup& item);
     void finish_lookup(time_point now, const flow_endpoints& flow);
     /// What a lookup has found, for logs.
-    [[nodiscard]] std::string
-    describe_lookup(time_point now, const owner_lookup& item) const;
+    [[nodiscard]] std::string describe_lookup(
+        time_point now,
+        const flow_endpoints& flow,
+        const owner_lookup& item) const;
     void assign_owner(
         time_point now,
         const flow_endpoints& flow,
@@ -329,8 +330,8 @@
     /// True once all companions must have registered since the entry has read
     /// the store's list.
     [[nodiscard]] bool is_settled(time_point now) const;
-    /// Call before a new companion is sent a hello: the number that it is told
-    /// must count it.
+    /// Call before a new or returned companion is sent a hello: the number that
+    /// it is told must count it.
     void update_stated_sizes(time_point now);
     /// Number of companions of a service for hellos; zero if not known.
     [[nodiscard]] std::uint32_t stated_size(service_id service) const;
--- a/src/flow/companion_directory.cpp
+++ b/src/flow/companion_directory.cpp
@@ -66,6 +66,8 @@
     target.is_stopping = report.is_stopping;
     target.has_left = report.has_left;
     target.reported_service_size = report.service_size;
+    target.is_counted =
+        !report.has_left && (target.is_counted || report.service_size != 0);
     target.is_registration_continuous = report.is_registration_continuous;
     this->on_load(now, id, report.load);
     return is_new;
@@ -123,20 +125,6 @@
     return found == this->by_service.end() ? none : found->second;
 }
 
-std::vector<service_id> companion_directory::services() const
-{
-    std::vector<service_id> result;
-    for (const auto& [service, ids] : this->by_service)
-    {
-        if (!ids.empty())
-        {
-            result.push_back(service);
-        }
-    }
-    std::sort(result.begin(), result.end());
-    return result;
-}
-
 bool companion_directory::is_gone(instance_id id) const
 {
     const directory_member* target = this->find(id);
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -115,6 +115,7 @@
             result_code::dropped_stale, incarnation.id);
         return false;
     }
+    this->forget_service_sizes();
     this->emit(
         now, flow_event_kind::upstream_changed, {}, {},
         result_code::not_run_upstream_leaving, incarnation.id);
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -69,15 +69,6 @@
     }
 }
 
-bool entry_flow_core::is_of_former_service(
-    const flow_endpoints& flow, instance_id companion) const
-{
-    const auto found = this->former_services.find(flow.target);
-    const directory_member* member = this->directory.find(companion);
-    return found != this->former_services.end() && member != nullptr &&
-           found->second.contains(member->service);
-}
-
 void entry_flow_core::expire_former_services(time_point now)
 {
     const auto is_expired = [this, now](const auto& item)
--- a/src/flow/entry_lookups.cpp
+++ b/src/flow/entry_lookups.cpp
@@ -92,7 +92,7 @@
 void entry_flow_core::query_companions(
     time_point now, const flow_endpoints& flow, owner_lookup& item)
 {
-    const std::vector<service_id> services = this->services_of(item);
+    const std::vector<service_id> services = this->services_of(flow, item);
     std::size_t largest_service = 0;
     for (const service_id service : services)
     {
@@ -122,11 +122,23 @@
     }
 }
 
-std::vector<service_id>
-entry_flow_core::services_of(const owner_lookup& item) const
+std::vector<service_id> entry_flow_core::services_of(
+    const flow_endpoints& flow, const owner_lookup& item) const
 {
-    return item.covers_all_services ? this->directory.services()
-                                    : std::vector<service_id>{item.service};
+    std::vector<service_id> result{item.service};
+    const auto former = this->former_services.find(flow.target);
+    if (!item.covers_former_services || former == this->former_services.end())
+    {
+        return result;
+    }
+    for (const auto& [service, changed_at] : former->second)
+    {
+        if (service != item.service)
+        {
+            result.push_back(service);
+        }
+    }
+    return result;
 }
 
 void entry_flow_core::add_pending(
@@ -203,7 +215,7 @@
     // Companions with hints are not waited for beyond the first timeout.
     const bool is_hint_round = item.rounds == 1;
     if ((item.pending.empty() || is_hint_round) &&
-        this->has_unqueried(now, item))
+        this->has_unqueried(now, flow, item))
     {
         item.pending.clear();
         this->query_companions(now, flow, item);
@@ -219,7 +231,7 @@
         this->assign_owner(now, flow, possible[index], false);
         return;
     }
-    if (this->query_other_services(now, flow, item))
+    if (this->query_former_services(now, flow, item))
     {
         return;
     }
@@ -232,7 +244,7 @@
         flow, item.pending.empty() ? instance_id{} : item.pending.front(),
         result_code::unknown_flow_lost,
         static_cast<std::uint32_t>(item.absent.size() + item.pending.size()), 0,
-        now - item.started, this->describe_lookup(now, item));
+        now - item.started, this->describe_lookup(now, flow, item));
     if (resets_caller)
     {
         this->output.reset_caller(flow, item.acknowledged);
@@ -256,24 +268,24 @@
     return result;
 }
 
-bool entry_flow_core::query_other_services(
+bool entry_flow_core::query_former_services(
     time_point now, const flow_endpoints& flow, owner_lookup& item)
 {
-    const bool is_required = item.has_payload && !item.covers_all_services &&
+    const bool is_required = item.has_payload && !item.covers_former_services &&
                              item.owner_status == owner_state::unknown &&
                              this->is_held_by_none(now, flow, item);
     if (!is_required)
     {
         return false;
     }
-    item.covers_all_services = true;
+    item.covers_former_services = true;
     item.rounds = 0;
     this->query_companions(now, flow, item);
     return !item.pending.empty();
 }
 
 bool entry_flow_core::has_unqueried(
-    time_point now, const owner_lookup& item) const
+    time_point now, const flow_endpoints& flow, const owner_lookup& item) const
 {
     const auto is_unqueried = [this, now, &item](instance_id id)
     {
@@ -282,7 +294,7 @@
                                 contains(item.pending, id);
         return !is_queried && counts_as_present(now, *this->directory.find(id));
     };
-    const std::vector<service_id> services = this->services_of(item);
+    const std::vector<service_id> services = this->services_of(flow, item);
     return std::any_of(
         services.begin(), services.end(),
         [this, &is_unqueried](service_id service)
@@ -304,29 +316,24 @@
     case owner_state::unknown:
         break;
     }
-    const std::vector<service_id> services = this->services_of(item);
-    // A companion that has restarted cannot tell as long as its upstream lives.
-    const bool may_be_at_former_service = std::any_of(
-        item.uncertain.begin(), item.uncertain.end(),
-        [this, &flow](instance_id id)
-        { return this->is_of_former_service(flow, id); });
+    const std::vector<service_id> services = this->services_of(flow, item);
     // Silence of a companion is no evidence that its upstream has lost a flow.
-    return item.pending.empty() && !may_be_at_former_service &&
-           !item.absent.empty() && !this->has_unqueried(now, item) &&
+    return item.pending.empty() && item.uncertain.empty() &&
+           !item.absent.empty() && !this->has_unqueried(now, flow, item) &&
            std::all_of(
                services.begin(), services.end(),
                [this, now](service_id service)
                { return this->knows_all_companions(now, service); });
 }
 
-std::string
-entry_flow_core::describe_lookup(time_point now, const owner_lookup& item) const
+std::string entry_flow_core::describe_lookup(
+    time_point now, const flow_endpoints& flow, const owner_lookup& item) const
 {
     std::size_t known = 0;
     std::size_t left = 0;
     std::size_t listed = 0;
     std::uint32_t reported = 0;
-    const std::vector<service_id> services = this->services_of(item);
+    const std::vector<service_id> services = this->services_of(flow, item);
     for (const service_id service : services)
     {
         std::uint32_t size = 0;
--- a/src/flow/entry_members.cpp
+++ b/src/flow/entry_members.cpp
@@ -129,11 +129,12 @@
 {
     const directory_member* known = this->directory.find(sender);
     const bool was_silent = known != nullptr && known->is_silent;
+    const bool had_left = known != nullptr && known->has_left;
     this->reported_entry_count = message.entry_count;
     const bool is_new = this->directory.on_report(now, sender, message);
     this->has_received_report = true;
     this->retry_waiting_openings(now, message.load);
-    if (is_new)
+    if (is_new || had_left)
     {
         this->update_stated_sizes(now);
     }
@@ -245,7 +246,7 @@
 {
     std::uint32_t known = 0;
     std::uint32_t reported = 0;
-    bool are_registrations_kept = true;
+    bool are_registrations_kept = !this->directory.of_service(service).empty();
     for (const instance_id id : this->directory.of_service(service))
     {
         const directory_member& member = *this->directory.find(id);
@@ -257,9 +258,9 @@
         {
             return false;
         }
-        // A companion without a number joined after the others' were stated,
-        // and must not stand in for one that is not known.
-        known += member.reported_service_size != 0 ? 1 : 0;
+        // A companion that is not counted yet must not stand in for one that is
+        // not known.
+        known += member.is_counted ? 1 : 0;
         reported = std::max(reported, member.reported_service_size);
         are_registrations_kept = are_registrations_kept && member.is_listed &&
                                  member.is_registration_continuous;
--- a/tests/flow/companion_flow_core_test.cpp
+++ b/tests/flow/companion_flow_core_test.cpp
@@ -463,6 +463,38 @@
     BOOST_TEST(reported_size(420ms, 7) == 7U);
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    a_companion_that_returns_within_a_tick_reports_no_number_from_before,
+    companion_fixture)
+{
+    make_ready();
+    core.on_message(at(0ms), entry, entry_hello{mark_at(7), true, 7});
+    core.on_tick(at(250ms));
+    core.on_departure(at(260ms), {"i-1", 1'000'000ms});
+    upstream_status status = ready_status(1);
+    status.incarnation.started = 2'000'000ms;
+    core.on_status(at(400ms), status);
+    output.sent.clear();
+    core.on_message(at(410ms), entry, entry_hello{mark_at(7), true, 0});
+    const auto reports = messages_of<companion_report>(output.sent);
+    BOOST_REQUIRE(reports.size() == 1U);
+    BOOST_TEST(reports[0].service_size == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    a_companion_that_has_not_left_keeps_the_number_over_ticks,
+    companion_fixture)
+{
+    make_ready();
+    core.on_message(at(0ms), entry, entry_hello{mark_at(7), true, 7});
+    core.on_tick(at(250ms));
+    output.sent.clear();
+    core.on_message(at(260ms), entry, entry_hello{mark_at(7), true, 0});
+    const auto reports = messages_of<companion_report>(output.sent);
+    BOOST_REQUIRE(reports.size() == 1U);
+    BOOST_TEST(reports[0].service_size == 7U);
+}
+
 BOOST_FIXTURE_TEST_CASE(
     an_accepted_flow_survives_a_long_pause_before_its_first_request,
     companion_fixture)
--- a/tests/flow/entry_evidence_test.cpp
+++ b/tests/flow/entry_evidence_test.cpp
@@ -120,7 +120,7 @@
 // Companion 1 has restarted and cannot tell. Its upstream is of another service
 // and must not see packets of flows that it may never have had.
 BOOST_FIXTURE_TEST_CASE(
-    a_companion_of_another_service_that_cannot_tell_prevents_a_reset,
+    a_companion_of_a_former_service_that_cannot_tell_prevents_a_reset,
     changed_route_fixture)
 {
     core.on_caller_packet(at(2ms), data_packet(test_flow(1), 1'001, 2));
@@ -175,7 +175,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(
-    a_flow_that_no_companion_of_any_service_holds_is_reset,
+    a_flow_that_no_companion_of_former_services_holds_is_reset,
     changed_route_fixture)
 {
     core.on_caller_packet(at(2ms), data_packet(test_flow(1), 1'001, 2));
@@ -183,9 +183,9 @@
     BOOST_TEST(output.resets.size() == 1U);
 }
 
-// Other services are queried only before a reset.
+// Former services are queried only before a reset.
 BOOST_FIXTURE_TEST_CASE(
-    other_services_are_not_queried_for_a_flow_that_its_own_holds,
+    former_services_are_not_queried_for_a_flow_that_the_present_one_holds,
     changed_route_fixture)
 {
     core.on_caller_packet(at(2ms), data_packet(test_flow(1), 1'001, 2));
@@ -195,6 +195,98 @@
     BOOST_TEST(messages_of<owner_query>(output.sent).size() == 2U);
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    a_companion_of_a_former_service_that_becomes_known_is_queried,
+    changed_route_fixture)
+{
+    core.on_caller_packet(at(2ms), data_packet(test_flow(1), 1'001, 2));
+    answer_absent(3ms, {3, 4}, test_flow(1));
+    core.on_message(at(4ms), companion(5), ready_report(5));
+    answer_absent(5ms, {1, 2}, test_flow(1));
+    BOOST_TEST(output.resets.empty());
+    core.on_message(
+        at(6ms), companion(5), owner_answer{test_flow(1), ownership::owned});
+    BOOST_TEST(output.packets.size() == 1U);
+}
+
+// Others state three companions of the former service.
+BOOST_FIXTURE_TEST_CASE(
+    a_flow_is_not_reset_while_a_companion_of_a_former_service_is_not_known,
+    changed_route_fixture)
+{
+    for (const std::uint16_t i : {1, 2})
+    {
+        core.on_message(at(1ms), companion(i), sized_report(i, 3));
+    }
+    core.on_caller_packet(at(2ms), data_packet(test_flow(1), 1'001, 2));
+    answer_absent(3ms, {3, 4, 1, 2}, test_flow(1));
+    BOOST_TEST(output.resets.empty());
+}
+
+// The entry saw the change of the route, but read the list of companions only
+// after those of the former service had lost their registrations.
+BOOST_FIXTURE_TEST_CASE(
+    a_former_service_of_which_no_companion_is_known_may_hold_a_flow,
+    entry_fixture)
+{
+    core.on_policy(at(0ms), test_policy(7));
+    configuration changed = test_policy(8)->value();
+    changed.routes[0].service = "papers";
+    core.on_policy(
+        at(1ms),
+        std::make_shared<policy>(store_position{0, 8}, std::move(changed)));
+    companion_report report = ready_report(3);
+    report.service = "papers";
+    report.service_size = 1;
+    core.on_message(at(1ms), companion(3), report);
+    core.on_list_read(at(1ms));
+    core.on_caller_packet(at(2ms), data_packet(test_flow(1), 1'001, 2));
+    answer_absent(3ms, {3}, test_flow(1));
+    BOOST_TEST(output.resets.empty());
+}
+
+// Its caller would not be reset in any case.
+BOOST_FIXTURE_TEST_CASE(
+    former_services_are_not_queried_for_a_packet_without_payload,
+    changed_route_fixture)
+{
+    core.on_caller_packet(at(2ms), data_packet(test_flow(1), 1'001, 2, 0));
+    answer_absent(3ms, {3, 4}, test_flow(1));
+    BOOST_TEST(messages_of<owner_query>(output.sent).size() == 2U);
+}
+
+// The entry started after the change, and cannot know what the route named.
+BOOST_FIXTURE_TEST_CASE(
+    a_started_entry_resets_no_flow_that_a_former_service_of_its_route_holds,
+    entry_fixture)
+{
+    make_ready(2);
+    companion_report report = ready_report(3);
+    report.service = "papers";
+    core.on_message(at(0ms), companion(3), report);
+    core.on_caller_packet(at(2ms), data_packet(test_flow(1), 1'001, 2));
+    answer_absent(3ms, {1, 2}, test_flow(1));
+    BOOST_TEST(output.resets.empty());
+}
+
+// A packet of an unknown flow, which anyone may send, causes no queries at
+// companions of services that the route never named.
+BOOST_FIXTURE_TEST_CASE(
+    unrelated_services_neither_prevent_resets_nor_are_queried, entry_fixture)
+{
+    make_ready(2);
+    for (std::uint16_t i = 3; i < 303; ++i)
+    {
+        companion_report report = ready_report(i);
+        report.service = "papers";
+        core.on_message(at(0ms), companion(i), report);
+    }
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'001, 2));
+    answer_absent(2ms, {1, 2}, test_flow(1));
+    BOOST_TEST(messages_of<owner_query>(output.sent).size() == 2U);
+    BOOST_TEST(output.resets.size() == 1U);
+}
+
 // The flow was opened through an entry that had the route's version already.
 BOOST_FIXTURE_TEST_CASE(
     an_open_flow_is_not_reset_by_an_entry_that_has_not_read_its_route_yet,
@@ -262,6 +354,63 @@
     BOOST_TEST(stated[companion(4)] == 4U);
 }
 
+// Guard for the case above, if the companion had left and returns.
+BOOST_FIXTURE_TEST_CASE(
+    a_companion_that_returns_is_told_a_number_that_counts_it, entry_fixture)
+{
+    make_ready(2);
+    companion_report left = ready_report(2);
+    left.has_left = true;
+    core.on_message(at(240ms), companion(2), left);
+    core.on_tick(at(250ms));
+    core.on_message(at(260ms), companion(2), ready_report(2));
+    output.sent.clear();
+    core.on_policy(at(270ms), test_policy(8));
+    const auto hellos = messages_of<entry_hello>(output.sent);
+    BOOST_REQUIRE(hellos.size() == 2U);
+    BOOST_TEST(hellos[1].service_size == 2U);
+}
+
+// Guard for the case above, if the companion had left and returns.
+BOOST_FIXTURE_TEST_CASE(
+    a_companion_that_returns_is_not_counted_by_a_number_from_before,
+    entry_fixture)
+{
+    core.on_policy(at(0ms), test_policy(7));
+    for (const std::uint16_t i : {1, 2, 3})
+    {
+        core.on_message(at(0ms), companion(i), sized_report(i, 4));
+    }
+    core.on_list_read(at(-10s));
+    companion_report left = ready_report(3);
+    left.has_left = true;
+    core.on_message(at(1ms), companion(3), left);
+    for (const std::uint16_t i : {1, 2})
+    {
+        core.on_message(at(2ms), companion(i), sized_report(i, 3));
+    }
+    core.on_message(at(3ms), companion(3), sized_report(3, 0));
+    core.on_caller_packet(at(4ms), data_packet(test_flow(1), 1'001, 2));
+    answer_absent(5ms, {1, 2, 3}, test_flow(1));
+    BOOST_TEST(output.resets.empty());
+}
+
+// A number is forgotten after 5 s. In a large fleet an entry greets a companion
+// less often, and the companion may report on its own in between.
+BOOST_FIXTURE_TEST_CASE(
+    a_report_between_two_hellos_does_not_prevent_resets, entry_fixture)
+{
+    make_ready(2);
+    for (const std::uint16_t i : {1, 2})
+    {
+        core.on_message(at(0ms), companion(i), sized_report(i, 2));
+    }
+    core.on_message(at(6'000ms), companion(2), sized_report(2, 0));
+    core.on_caller_packet(at(6'001ms), data_packet(test_flow(1), 1'001, 2));
+    answer_absent(6'002ms, {1, 2}, test_flow(1));
+    BOOST_TEST(output.resets.size() == 1U);
+}
+
 // Guard for the case above: the entry does not know the companions of which
 // only others know one.
 BOOST_FIXTURE_TEST_CASE(
