Look up the owners of a former and a present flow apart

Callers that open a new flow from the port of a former one may have seen the new flow reset within its first round trip. Cause: a companion returns a late data packet of the former flow, and the entry asks the others with its acknowledgement. A packet of the present flow joined that lookup and replaced the acknowledgement: the evidence about the former flow then reset the present one, with a sequence number that its caller accepts. Change: a packet whose acknowledgement is more than a window away from that of the lookup does not join it; its caller sends it again.

--- a/src/flow/companion_flows.cpp
+++ b/src/flow/companion_flows.cpp
@@ -3,12 +3,17 @@
 
 #include "masticslip/flow/companion_flow_core.hpp"
 
+#include "masticslip/flow/detail/sequence_window.hpp"
+
 #include <algorithm>
-#include <cstdlib>
 
 namespace masticslip
 {
 
+using detail::is_within_window;
+using detail::sequence_distance;
+using detail::sequence_window;
+
 namespace
 {
 
@@ -20,9 +25,6 @@
 /// Retention time of ended and absent flows, so that late packets do not start
 /// a lookup.
 constexpr std::chrono::seconds ended_limit{5};
-/// Maximum distance of an acknowledgement from the upstream's first sequence
-/// number: the largest window of data in flight.
-constexpr std::uint32_t sequence_window = 76'800;
 /// Idle limit for flows if the policy does not set one.
 constexpr std::chrono::seconds default_idle_limit{15};
 
@@ -30,18 +32,6 @@
 /// `max_flows` divided by this.
 constexpr std::size_t crowded_divisor = 2;
 
-/// Signed distance of two sequence numbers, modulo 2^32.
-std::int32_t sequence_distance(std::uint32_t from, std::uint32_t to)
-{
-    return static_cast<std::int32_t>(to - from);
-}
-
-bool is_within_window(std::uint32_t first, std::uint32_t second)
-{
-    const std::int64_t distance = sequence_distance(first, second);
-    return std::abs(distance) <= std::int64_t{sequence_window};
-}
-
 } // namespace
 
 void companion_flow_core::on_unknown_flow(
--- a/src/flow/entry_lookups.cpp
+++ b/src/flow/entry_lookups.cpp
@@ -3,6 +3,7 @@
 #include "masticslip/flow/entry_flow_core.hpp"
 
 #include "masticslip/flow/detail/entry_flow_limits.hpp"
+#include "masticslip/flow/detail/sequence_window.hpp"
 
 #include <algorithm>
 #include <array>
@@ -59,6 +60,13 @@
     const auto known = this->lookups.find(packet.flow);
     const bool is_new = known == this->lookups.end();
     owner_lookup& item = this->lookups[packet.flow];
+    if (!is_new &&
+        !detail::is_within_window(item.acknowledged, packet.acknowledged))
+    {
+        // Of a former or later flow from the same port: the caller sends it
+        // again if it is still of use.
+        return;
+    }
     item.acknowledged = packet.acknowledged;
     item.owner_status = std::max(item.owner_status, owner);
     item.has_payload = item.has_payload || packet.payload_size > 0;
--- a/tests/flow/recording_outputs.hpp
+++ b/tests/flow/recording_outputs.hpp
@@ -107,9 +107,11 @@
         this->packets.push_back(companion);
     }
 
-    void reset_caller(const flow_endpoints& flow, std::uint32_t) override
+    void
+    reset_caller(const flow_endpoints& flow, std::uint32_t sequence) override
     {
         this->resets.push_back(flow);
+        this->reset_sequences.push_back(sequence);
     }
 
     void send(instance_id to, const flow_message& message) override
@@ -124,6 +126,7 @@
 
     std::vector<endpoint> packets;
     std::vector<flow_endpoints> resets;
+    std::vector<std::uint32_t> reset_sequences;
     std::vector<sent_message> sent;
     std::vector<instance_id> fetches;
 };
