Keep a flow open after a late reset of a former one from its port

Callers that reuse a port may have lost a flow that paused for more than 5 s. Cause: a companion took a late reset or close of the former flow for the present one and counted it as ended. It forgot the flow 5 s after its last packet, returned the next one and denied that it holds the flow. Evidence: reused_port/companion_keeps_the_present_flow_after_a_late_packet_of_ the_former fails in the rows of both resets without the change. Change: a packet whose acknowledgement, or without one whose sequence number, is more than a window away from the flow's is forwarded and changes nothing; the upstream judges it.

--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -206,8 +206,9 @@
     return_packet(time_point now, instance_id entry, const flow_packet& packet);
     void forward_to_upstream(time_point now, const flow_packet& packet);
     static bool acknowledges(const flow_record& flow, std::uint32_t number);
-    /// True unless the acknowledgement shows that a caller's packet belongs to
-    /// a former flow between the same endpoints.
+    /// True unless the acknowledgement or, without one, the sequence number
+    /// shows that a caller's packet belongs to a former flow between the same
+    /// endpoints.
     static bool
     may_belong_to(const flow_record& flow, const flow_packet& packet);
     /// Probes a half-open flow that the upstream may have held before this
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -147,6 +147,12 @@
         this->return_packet(now, entry, packet);
         return;
     }
+    if (!may_belong_to(flow, packet))
+    {
+        // The upstream judges a late packet of a former flow.
+        this->forward_to_upstream(now, packet);
+        return;
+    }
     flow.entry = entry;
     flow.last_packet = now;
     if (flow.state == flow_state::half_open)
--- a/src/flow/companion_flows.cpp
+++ b/src/flow/companion_flows.cpp
@@ -89,10 +89,14 @@
 bool companion_flow_core::may_belong_to(
     const flow_record& flow, const flow_packet& packet)
 {
-    if (!flow.opening_seen || !flow.accepted || !packet.flags.acknowledges)
+    if (!flow.opening_seen || !flow.accepted)
     {
         return true;
     }
+    if (!packet.flags.acknowledges)
+    {
+        return is_within_window(flow.caller_sequence, packet.sequence);
+    }
     // Distances of more than 2 GB wrap around, so a flow has no fixed range.
     return is_within_window(flow.first_sequence, packet.acknowledged) ||
            is_within_window(flow.upstream_sequence, packet.acknowledged);
--- a/tests/flow/reused_port_test.cpp
+++ b/tests/flow/reused_port_test.cpp
@@ -68,6 +68,136 @@
     {"reset_with_acknowledgement", false, true, false, true, 0},
     {"reset_without_acknowledgement", false, false, false, true, 0}};
 
+/// State of the present flow when the late packet arrives.
+enum class present_state : std::uint8_t
+{
+    opening_forwarded,
+    accepted,
+    open
+};
+
+std::ostream& operator<<(std::ostream& stream, present_state value)
+{
+    constexpr std::array<const char*, 3> names{
+        "opening_forwarded", "accepted", "open"};
+    return stream << names.at(static_cast<std::size_t>(value));
+}
+
+const std::vector<present_state> present_states{
+    present_state::opening_forwarded, present_state::accepted,
+    present_state::open};
+
+struct reused_port_fixture : companion_fixture
+{
+    /// Opens and closes the former flow, then opens the present one up to a
+    /// state.
+    void reuse_port(present_state state)
+    {
+        this->make_ready();
+        this->open(test_flow(1), at(10ms));
+        flow_packet close = data_packet(test_flow(1), 1'101, 5'001, 0);
+        close.flags.closes = true;
+        this->core.on_caller_packet(at(20ms), entry, close);
+        flow_packet answer = data_packet(test_flow(1), 5'001, 1'102);
+        answer.origin = packet_origin::upstream;
+        answer.flags.closes = true;
+        this->core.on_upstream_packet(at(21ms), answer);
+        this->core.on_caller_packet(at(30ms), entry, present_opening());
+        if (state != present_state::opening_forwarded)
+        {
+            this->accept();
+        }
+        if (state == present_state::open)
+        {
+            this->core.on_caller_packet(at(32ms), entry, present_data(0));
+        }
+        this->output.sent.clear();
+    }
+
+    void accept()
+    {
+        this->core.on_upstream_packet(
+            at(31ms), accepting_packet(test_flow(1), upstream_start));
+    }
+
+    /// The acknowledgement with which an upstream answers a packet outside its
+    /// window.
+    void challenge(std::chrono::milliseconds now)
+    {
+        flow_packet packet = data_packet(
+            test_flow(1), upstream_start + 1, caller_start + 101, 0);
+        packet.origin = packet_origin::upstream;
+        this->core.on_upstream_packet(at(now), packet);
+    }
+
+    /// The upstream reports each second.
+    void
+    pass_time(std::chrono::milliseconds from, std::chrono::milliseconds until)
+    {
+        for (auto now = from; now < until; now += 250ms)
+        {
+            if (now % 1'000ms == 0ms)
+            {
+                const auto sequence =
+                    static_cast<std::uint64_t>(now / 1'000ms + 1);
+                this->core.on_status(at(now), ready_status(sequence));
+            }
+            this->core.on_tick(at(now));
+        }
+    }
+};
+
+BOOST_DATA_TEST_CASE_F(
+    reused_port_fixture,
+    companion_keeps_the_present_flow_after_a_late_packet_of_the_former,
+    boost::unit_test::data::make(late_cases) *
+        boost::unit_test::data::make(present_states),
+    late,
+    state)
+{
+    reuse_port(state);
+    core.on_caller_packet(at(40ms), entry, late_packet(late));
+    if (state == present_state::opening_forwarded)
+    {
+        accept();
+    }
+    challenge(41ms);
+    if (state != present_state::open)
+    {
+        core.on_caller_packet(at(42ms), entry, present_data(0));
+    }
+    output.sent.clear();
+    pass_time(250ms, 7'000ms);
+    const std::size_t before = output.to_upstream;
+
+    core.on_caller_packet(at(7'000ms), entry, present_data(100));
+    core.on_message(
+        at(7'001ms), entry, owner_query{test_flow(1), upstream_start + 1});
+
+    BOOST_TEST(output.to_upstream == before + 1);
+    BOOST_TEST(messages_of<packet_returned>(output.sent).empty());
+    BOOST_TEST(output.resets.empty());
+    BOOST_TEST(core.load(at(7'002ms)).open_flows == 1U);
+    BOOST_TEST(core.load(at(7'002ms)).in_flight == 1U);
+    const auto answers = messages_of<owner_answer>(output.sent);
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST((answers[0].answer == ownership::owned));
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    companion_ends_an_open_flow_that_its_caller_resets_without_acknowledgement,
+    reused_port_fixture)
+{
+    reuse_port(present_state::open);
+    flow_packet reset = present_data(100);
+    reset.flags = {};
+    reset.flags.resets = true;
+    reset.acknowledged = 0;
+    reset.payload_size = 0;
+    core.on_caller_packet(at(40ms), entry, reset);
+    BOOST_TEST(core.load(at(41ms)).open_flows == 0U);
+}
+
 BOOST_DATA_TEST_CASE_F(
     entry_fixture,
     entry_forwards_the_present_flow_after_a_late_packet_of_the_former,
