Let the upstream decide whether an opening replaces an open flow

Callers that reuse a port may have seen their present flow reset after a late copy of the opening of the former one. Cause: a companion took each opening with another sequence number for a new flow and dropped its record of the open one. The upstream answers a late opening with an acknowledgement only, so the record stayed without an acceptance, and the caller's next packet was returned and denied. Evidence: reused_port/companion_keeps_the_present_flow_after_a_late_packet_of_ the_former fails in the rows opening/accepted and opening/open without the change. Change: an opening for an established flow is forwarded, and the record is replaced when the upstream accepts with another sequence number.

--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -30,6 +30,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace masticslip
@@ -148,6 +149,12 @@
         absent ///< The upstream has answered that it does not hold it.
     };
 
+    struct unconfirmed_opening
+    {
+        std::uint32_t sequence = 0;
+        instance_id entry;
+    };
+
     struct flow_record
     {
         flow_state state = flow_state::half_open;
@@ -169,6 +176,9 @@
         std::uint32_t caller_sequence = 0;
         time_point created;
         time_point last_packet;
+        /// An opening with another sequence number that was forwarded while
+        /// this flow was established.
+        std::optional<unconfirmed_opening> next;
 
         /// True if the flow became known by later packets than its opening.
         [[nodiscard]] bool is_learned() const
@@ -176,6 +186,16 @@
             return !this->opening_seen && (this->state == flow_state::open ||
                                            this->state == flow_state::probing);
         }
+
+        /// True if the upstream has accepted the flow and neither side has
+        /// closed it, as far as is known.
+        [[nodiscard]] bool is_established() const
+        {
+            return this->opening_seen && this->accepted &&
+                   !this->caller_closed && !this->upstream_closed &&
+                   (this->state == flow_state::half_open ||
+                    this->state == flow_state::open);
+        }
     };
 
     using flow_table = boost::unordered_flat_map<
@@ -193,6 +213,17 @@
         instance_id entry,
         flow_record& flow,
         const flow_packet& packet);
+    /// Forwards an opening with another sequence number than that of an
+    /// established flow: a late copy for a former flow, or a new flow of a
+    /// caller that has lost this one. Only the upstream can tell.
+    void forward_unconfirmed_opening(
+        time_point now,
+        instance_id entry,
+        flow_record& flow,
+        const flow_packet& packet);
+    /// Replaces a flow by a new one between the same endpoints.
+    void replace_flow(
+        time_point now, flow_record& flow, const unconfirmed_opening& opening);
     result_code admission(time_point now, const flow_packet& packet);
     result_code route_admission(const flow_packet& packet) const;
     void refuse(
--- a/src/flow/companion_admission.cpp
+++ b/src/flow/companion_admission.cpp
@@ -57,6 +57,12 @@
         this->forward_unseen_opening(now, entry, found->second, packet);
         return;
     }
+    if (found != this->flows.end() && !is_copy &&
+        found->second.is_established())
+    {
+        this->forward_unconfirmed_opening(now, entry, found->second, packet);
+        return;
+    }
     if (found != this->flows.end() && !is_copy)
     {
         // The caller has reused the port.
@@ -97,6 +103,34 @@
     this->forward_to_upstream(now, packet);
 }
 
+void companion_flow_core::forward_unconfirmed_opening(
+    time_point now,
+    instance_id entry,
+    flow_record& flow,
+    const flow_packet& packet)
+{
+    flow.next = {packet.sequence, entry};
+    this->cold_limit.on_admitted(now);
+    this->backoff.on_forwarded(now);
+    this->forward_to_upstream(now, packet);
+}
+
+void companion_flow_core::replace_flow(
+    time_point now, flow_record& flow, const unconfirmed_opening& opening)
+{
+    const unconfirmed_opening start = opening;
+    this->set_awaiting_answer(flow, false);
+    this->set_state(flow, flow_state::ended);
+    flow = {};
+    flow.entry = start.entry;
+    flow.created = now;
+    flow.is_reserved = true;
+    flow.opening_seen = true;
+    flow.opening_sequence = start.sequence;
+    flow.caller_sequence = start.sequence;
+    this->set_awaiting_answer(flow, true);
+}
+
 result_code
 companion_flow_core::route_admission(const flow_packet& packet) const
 {
--- a/src/flow/companion_flows.cpp
+++ b/src/flow/companion_flows.cpp
@@ -174,6 +174,12 @@
     time_point now, flow_record& flow, const flow_packet& packet)
 {
     this->backoff.clear();
+    if (flow.next && packet.sequence != flow.first_sequence)
+    {
+        this->replace_flow(now, flow, *flow.next);
+        flow.last_packet = now;
+        this->reservations.push_back({now, packet.flow});
+    }
     const bool is_first = !flow.accepted;
     flow.accepted = true;
     flow.first_sequence = packet.sequence;
@@ -228,6 +234,12 @@
     }
     flow_record& flow = found->second;
     const instance_id entry = flow.entry;
+    if (packet.is_opening() && flow.is_established() &&
+        packet.sequence != flow.opening_sequence)
+    {
+        flow.next.reset();
+        return;
+    }
     if (packet.is_opening())
     {
         this->backoff.on_bounced(now);
--- a/tests/flow/reused_port_test.cpp
+++ b/tests/flow/reused_port_test.cpp
@@ -63,6 +63,7 @@
 }
 
 const std::vector<late_case> late_cases{
+    {"opening", true, false, false, false, 0},
     {"data", false, true, false, false, 100},
     {"close", false, true, true, false, 0},
     {"reset_with_acknowledgement", false, true, false, true, 0},
@@ -184,6 +185,28 @@
     BOOST_TEST((answers[0].answer == ownership::owned));
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    companion_takes_an_opening_that_the_upstream_accepts_for_a_new_flow,
+    companion_fixture)
+{
+    make_ready();
+    open(test_flow(1), at(10ms));
+    flow_packet packet = opening_packet(test_flow(1));
+    packet.sequence += 500'000;
+    const std::size_t before = output.to_upstream;
+    core.on_caller_packet(at(300ms), entry, packet);
+    BOOST_TEST(output.to_upstream == before + 1);
+    core.on_upstream_packet(
+        at(301ms), accepting_packet(test_flow(1), 900'000'000));
+    BOOST_TEST(core.load(at(301ms)).open_flows == 0U);
+    BOOST_TEST(core.load(at(301ms)).in_flight == 1U);
+    BOOST_TEST(messages_of<flow_opened>(output.sent).size() == 2U);
+    core.on_caller_packet(
+        at(302ms), entry, data_packet(test_flow(1), 501'001, 900'000'001));
+    BOOST_TEST(core.load(at(302ms)).open_flows == 1U);
+    BOOST_TEST(messages_of<packet_returned>(output.sent).empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(
     companion_ends_an_open_flow_that_its_caller_resets_without_acknowledgement,
     reused_port_fixture)
