Take no message from the time of a pause for a confirmation

A companion that was suspended may have admitted flows to an upstream that had begun to drain, or into a domain that had been withdrawn, while it slept. Cause: a resumed companion waits for a status and for a hello with its policy. Those that had waited in its sockets since before the change counted, and callers' packets in another socket may be read before the newer ones. Change: what is read in the first 100 ms after a pause confirms nothing; a status still counts for what it refuses. A resumed companion may admit up to one status interval later than before.

--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -283,6 +283,8 @@
     void expire_flows(time_point now);
     void expire_reservations(time_point now);
     void observe(time_point now);
+    /// True just after a freeze, while messages from before its end are read.
+    [[nodiscard]] bool reads_backlog(time_point now) const;
     void emit(
         time_point now,
         flow_event_kind kind,
@@ -336,6 +338,8 @@
     std::uint32_t open_flows = 0;
     /// Start of the process, or the end of its last freeze.
     time_point observing_since;
+    /// End of the last freeze.
+    time_point resumed_at;
     /// Until then the upstream may hold open flows that were evicted here.
     time_point evicted_until;
     time_point next_sweep;
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -13,6 +13,8 @@
 /// After a freeze, new flows wait at most this long for an entry to confirm the
 /// policy.
 constexpr std::chrono::seconds policy_confirmation_timeout{4};
+/// What is read this soon after a freeze may have been sent during it.
+constexpr std::chrono::milliseconds backlog_time{100};
 /// Entries without a hello for this long are removed.
 constexpr std::chrono::seconds entry_retention{30};
 /// An entry without a hello for this long is sent reports unsolicited: it may
@@ -85,6 +87,10 @@
             result_code::dropped_stale, status.incarnation.id);
         return false;
     }
+    if (this->reads_backlog(now))
+    {
+        this->monitor.invalidate_status();
+    }
     if (is_restart)
     {
         this->backoff.clear();
@@ -239,7 +245,8 @@
     {
         this->output.fetch_policy(sender);
     }
-    if (message.policy.position == this->current_policy().position())
+    if (message.policy.position == this->current_policy().position() &&
+        !this->reads_backlog(now))
     {
         this->freeze.on_answer(now);
     }
@@ -333,6 +340,7 @@
     }
     if (has_resumed)
     {
+        this->resumed_at = now;
         this->monitor.invalidate_status();
         this->emit(
             now, flow_event_kind::freeze_detected, {}, {},
@@ -340,6 +348,12 @@
     }
 }
 
+bool companion_flow_core::reads_backlog(time_point now) const
+{
+    return this->resumed_at != time_point{} &&
+           now - this->resumed_at < backlog_time;
+}
+
 void companion_flow_core::emit(
     time_point now,
     flow_event_kind kind,
