Let a stopping companion wait for the answers to requests in flight

At three times the usual load, callers lost accepted requests when a companion was stopped as planned: they ran into their time limit without an answer. Cause: a companion exited 20 ms after SIGTERM. Answers of its upstream during its restart were lost, and the caller's next retransmission could come after the time limit. Change: a companion that has been told to stop exits once no request is in flight, checked each 20 ms, or after 400 ms. It refuses new flows meanwhile, as before. The simulated fleet stops companions in the same way. The simulated hosts send an answer once; real ones retransmit it.

--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -130,6 +130,10 @@
     /// packet for as long as makes a status overdue.
     [[nodiscard]] bool upstream_is_down(time_point now) const;
 
+    /// True if the process may exit after on_stop: no request is in flight, or
+    /// its time limit has passed.
+    [[nodiscard]] bool may_exit(time_point now) const;
+
     [[nodiscard]] std::size_t flow_count() const
     {
         return this->flows.size();
@@ -345,6 +349,7 @@
     time_point next_sweep;
     time_point next_hint_sweep;
     bool stopping = false;
+    time_point stopped_at;
     bool was_withdrawn = false;
     bool is_registration_continuous = false;
     result_code last_refusal = result_code::not_run_no_upstream;
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -13,6 +13,9 @@
 /// After a freeze, new flows wait at most this long for an entry to confirm the
 /// policy.
 constexpr std::chrono::seconds policy_confirmation_timeout{4};
+/// A stopping process waits at most this long for answers to the requests in
+/// flight: the queue of a busy upstream.
+constexpr std::chrono::milliseconds stop_limit{400};
 /// What is read this soon after a freeze may have been sent during it.
 constexpr std::chrono::milliseconds backlog_time{100};
 /// Entries without a hello for this long are removed.
@@ -324,9 +327,15 @@
 {
     this->observe(now);
     this->stopping = true;
+    this->stopped_at = now;
     this->send_reports(now);
 }
 
+bool companion_flow_core::may_exit(time_point now) const
+{
+    return this->in_flight == 0 || now - this->stopped_at >= stop_limit;
+}
+
 void companion_flow_core::observe(time_point now)
 {
     const bool has_resumed = this->freeze.observe(now);
--- a/src/node/companion_node.cpp
+++ b/src/node/companion_node.cpp
@@ -16,8 +16,9 @@
 
 /// The same limit as in flow_node.cpp.
 constexpr std::size_t max_datagram_size = 2'048;
-/// Delay before exit, so that the last load reports are sent.
-constexpr std::chrono::milliseconds report_flush_delay{20};
+/// Delay before exit, so that the last load reports are sent, and interval of
+/// the checks whether requests are still in flight.
+constexpr std::chrono::milliseconds exit_check_interval{20};
 /// Time limit for removing the companion's key from the store after its
 /// upstream has terminated.
 constexpr std::chrono::milliseconds deregistration_timeout{1'500};
@@ -93,13 +94,26 @@
         asio::co_spawn(
             this->context, this->deregister_and_exit(), asio::detached);
         this->exit_timer.expires_after(deregistration_timeout);
+        this->exit_timer.async_wait([this](const boost::system::error_code&)
+                                    { this->context.stop(); });
+        return;
     }
-    else
-    {
-        this->exit_timer.expires_after(report_flush_delay);
-    }
-    this->exit_timer.async_wait([this](const boost::system::error_code&)
-                                { this->context.stop(); });
+    this->exit_when_idle();
+}
+
+void companion_node::exit_when_idle()
+{
+    this->exit_timer.expires_after(exit_check_interval);
+    this->exit_timer.async_wait(
+        [this](const boost::system::error_code&)
+        {
+            if (this->core.may_exit(node_now()))
+            {
+                this->context.stop();
+                return;
+            }
+            this->exit_when_idle();
+        });
 }
 
 asio::awaitable<void> companion_node::deregister_and_exit()
--- a/src/node/companion_node.hpp
+++ b/src/node/companion_node.hpp
@@ -54,6 +54,7 @@
 
     void on_upstream_datagram(const endpoint& sender, byte_view datagram);
     boost::asio::awaitable<void> deregister_and_exit();
+    void exit_when_idle();
 
     companion_node_settings role_settings;
     companion_flow_core core;
--- a/standins/flow/virtual_callers.cpp
+++ b/standins/flow/virtual_callers.cpp
@@ -263,6 +263,19 @@
     return found != this->by_flow.end() && this->users[found->second].open;
 }
 
+std::set<std::uint64_t> virtual_callers::open_requests() const
+{
+    std::set<std::uint64_t> result;
+    for (const user& item : this->users)
+    {
+        if (item.open && item.asked != time_point{})
+        {
+            result.insert(item.request);
+        }
+    }
+    return result;
+}
+
 void virtual_callers::fail_attempt(std::size_t index, bool may_have_run)
 {
     user& item = this->users[index];
@@ -272,6 +285,10 @@
                            (is_repeatable(load_class.kind) || !may_have_run);
     if (!may_retry)
     {
+        if (!may_have_run && !is_repeatable(load_class.kind))
+        {
+            this->refused.push_back(item.request);
+        }
         this->finish(index, false);
         return;
     }
@@ -300,6 +317,7 @@
     {
         ++result.failed;
         this->failed.push_back(item.last_flow);
+        this->unanswered.push_back(item.request);
     }
     else if (taken <= load_class.target_latency)
     {
--- a/standins/flow/virtual_callers.hpp
+++ b/standins/flow/virtual_callers.hpp
@@ -95,6 +95,21 @@
         return this->late;
     }
 
+    /// Requests in progress whose flow is established.
+    [[nodiscard]] std::set<std::uint64_t> open_requests() const;
+
+    /// Requests that were not answered.
+    [[nodiscard]] const std::vector<std::uint64_t>& failed_requests() const
+    {
+        return this->unanswered;
+    }
+
+    /// Unsafe requests of which callers know that they did not run.
+    [[nodiscard]] const std::vector<std::uint64_t>& refused_requests() const
+    {
+        return this->refused;
+    }
+
     /// True if a request may be executed more than once.
     [[nodiscard]] bool is_idempotent(std::uint64_t request) const
     {
@@ -153,6 +168,8 @@
     std::vector<ended_request> ended;
     std::vector<flow_endpoints> failed;
     std::vector<flow_endpoints> late;
+    std::vector<std::uint64_t> unanswered;
+    std::vector<std::uint64_t> refused;
     std::set<std::uint64_t> non_idempotent;
     std::uint64_t next_request = 1;
     std::uint32_t first_address = 0x64400000;
--- a/standins/flow/virtual_fleet_faults.cpp
+++ b/standins/flow/virtual_fleet_faults.cpp
@@ -13,6 +13,8 @@
 /// A stopping entry keeps forwarding for this long, so that the fabric notices
 /// that it is not ready.
 constexpr std::chrono::milliseconds linger{2'000};
+/// Interval at which a stopping companion checks whether it may exit.
+constexpr std::chrono::milliseconds exit_check_interval{20};
 
 } // namespace
 
@@ -49,13 +51,34 @@
 
 void virtual_flow_fleet::stop_companion(std::size_t index)
 {
-    if (this->companions[index]->core)
+    companion_process& process = *this->companions[index];
+    if (process.core)
     {
-        this->companions[index]->core->on_stop(this->queue.now());
+        process.core->on_stop(this->queue.now());
+        this->exit_companion(index, process.incarnation_number);
+        return;
     }
     this->kill_companion(index, 0ms);
 }
 
+void virtual_flow_fleet::exit_companion(
+    std::size_t index, std::uint64_t incarnation_number)
+{
+    const companion_process& process = *this->companions[index];
+    if (!process.core || process.incarnation_number != incarnation_number)
+    {
+        return;
+    }
+    if (process.core->may_exit(this->queue.now()))
+    {
+        this->kill_companion(index, 0ms);
+        return;
+    }
+    this->queue.after(
+        exit_check_interval, [this, index, incarnation_number]
+        { this->exit_companion(index, incarnation_number); });
+}
+
 void virtual_flow_fleet::freeze_entry(
     std::size_t index, std::chrono::milliseconds time)
 {
--- a/standins/flow/virtual_flow_fleet.hpp
+++ b/standins/flow/virtual_flow_fleet.hpp
@@ -182,6 +182,8 @@
     struct companion_process;
 
     void start_entry(std::size_t index);
+    /// Ends a stopping companion once it may exit.
+    void exit_companion(std::size_t index, std::uint64_t incarnation_number);
     void start_companion(std::size_t index);
     void create_companion(const std::string& service, std::uint32_t domain);
     /// Registers a companion in the store, which is tried again while the store
