Call a registration continuous only while its lease can be in force

A companion that was suspended for longer than its lease went on to tell entries that its registration had had no gap, until its next renewal was answered. No caller was seen to suffer from it: an entry also demands that the companion is listed, and its list can be as old. Cause: the statement rested on the last write, not on the last renewal; it also used a clock that stands still while the machine is suspended. Change: the start of the last call that granted or renewed the lease is kept, and the statement ends a lifetime later. The clock is that of the node.

--- a/src/node/member_registration.cpp
+++ b/src/node/member_registration.cpp
@@ -40,9 +40,10 @@
     asio::io_context& context,
     key_value_store& store,
     std::string key,
-    std::chrono::milliseconds min_lease)
+    std::chrono::milliseconds min_lease,
+    std::function<time_point()> now)
     : store(store), context(context), timer(context), key(std::move(key)),
-      lifetime(std::max(lease_lifetime, min_lease))
+      lifetime(std::max(lease_lifetime, min_lease)), now(std::move(now))
 {
 }
 
@@ -54,7 +55,7 @@
 
 void member_registration::on_key_missing()
 {
-    const auto age = std::chrono::steady_clock::now() - this->written_at;
+    const duration age = this->now() - this->written_at;
     if (this->is_written && age > visibility_delay)
     {
         this->is_written = false;
@@ -142,8 +143,10 @@
 
 bool member_registration::is_continuous() const
 {
-    const auto age = std::chrono::steady_clock::now() - this->written_at;
-    return this->is_written && (this->is_kept || age >= recovery_time);
+    const time_point now = this->now();
+    return this->is_written &&
+           now - this->lease_confirmed_at < this->lifetime &&
+           (this->is_kept || now - this->written_at >= recovery_time);
 }
 
 asio::awaitable<void> member_registration::look_up()
@@ -160,6 +163,7 @@
 
 asio::awaitable<bool> member_registration::grant()
 {
+    const time_point asked_at = this->now();
     auto result = co_await this->store.grant_lease(this->lifetime);
     if (result.value && result.value->era < this->known_era())
     {
@@ -170,6 +174,7 @@
     {
         this->lease = result.value->id;
         this->lease_era = result.value->era;
+        this->lease_confirmed_at = asked_at;
         this->is_written = false;
     }
     co_return this->report_result("lease", result.status, result.reason);
@@ -188,7 +193,7 @@
     if (is_under_own_lease && !this->is_deregistered)
     {
         this->is_written = true;
-        this->written_at = std::chrono::steady_clock::now();
+        this->written_at = this->now();
         log_line(log_level::info, "registered")
             .field("key", this->key)
             .field("position", to_string(*result.value));
@@ -198,6 +203,7 @@
 
 asio::awaitable<bool> member_registration::renew()
 {
+    const time_point asked_at = this->now();
     const auto result = co_await this->store.renew_lease(this->lease);
     if (result.status == store_status::not_found)
     {
@@ -207,6 +213,10 @@
         this->is_kept = false;
         co_return true;
     }
+    if (result.status == store_status::done)
+    {
+        this->lease_confirmed_at = asked_at;
+    }
     co_return this->report_result("renew", result.status, result.reason);
 }
 
--- a/src/node/member_registration.hpp
+++ b/src/node/member_registration.hpp
@@ -7,12 +7,14 @@
 /// written soon after the store is available again.
 
 #include "masticslip/store/key_value_store.hpp"
+#include "node_clock.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
+#include <functional>
 #include <string>
 
 namespace masticslip
@@ -26,7 +28,8 @@
         boost::asio::io_context& context,
         key_value_store& store,
         std::string key,
-        std::chrono::milliseconds min_lease);
+        std::chrono::milliseconds min_lease,
+        std::function<time_point()> now = node_now);
 
     /// Starts to register the value and keeps it registered. Call once.
     void start(std::string value);
@@ -40,7 +43,7 @@
 
     /// True if the key has been registered without a gap since before this
     /// process started, or long enough for other processes to register again
-    /// after a loss of many registrations.
+    /// after a loss of many registrations. False once the lease may have ended.
     [[nodiscard]] bool is_continuous() const;
 
     /// Removes the key and stops registering it.
@@ -80,7 +83,10 @@
     bool is_kept = false;
     bool is_deregistered = false;
     unsigned failures = 0;
-    std::chrono::steady_clock::time_point written_at;
+    std::function<time_point()> now;
+    time_point written_at;
+    /// Start of the last call that granted or renewed the lease.
+    time_point lease_confirmed_at;
 };
 
 } // namespace masticslip
