Identify a request without Request-Tag by its contents, too

A caller that used a token again for another unsafe request got the answer to its former request, and the present one did not run. Cause: without a Request-Tag, the record of a request was found by flow and token only. RFC 7252 lets callers use a token again once its request has ended. Change: the key also holds a digest of the code, the options except Echo and the deadline, and the payload. An equal request under the same token remains a repetition; a Request-Tag tells them apart. Requests with one keep their key. While versions are mixed, the knowledge of a retired companion of the former version does not cover requests without Request-Tag.

--- a/include/masticslip/core/execution_records.hpp
+++ b/include/masticslip/core/execution_records.hpp
@@ -17,8 +17,9 @@
 namespace masticslip
 {
 
-/// Identity of a request: the flow, and the Request-Tag (or the token) with the
-/// Block1 value.
+/// Identity of a request: the flow, and the Request-Tag with the Block1 value.
+/// Without a Request-Tag: the token and a digest of the contents, because
+/// callers may use a token again once its request has ended.
 struct request_key
 {
     flow_key flow;
--- a/src/core/execution_records.cpp
+++ b/src/core/execution_records.cpp
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include <iterator>
+
 std::size_t std::hash<masticslip::request_key>::operator()(
     const masticslip::request_key& key) const
 {
@@ -12,12 +14,46 @@
 namespace masticslip
 {
 
+namespace
+{
+
+/// Appends a digest of what a repetition of the request has in common with it.
+void append_content_digest(bytes& tag, const coap_message& request)
+{
+    bytes content{static_cast<std::uint8_t>(request.code)};
+    for (const coap_option& option : request.options)
+    {
+        if (option.number == coap_option_number::echo ||
+            option.number == coap_option_number::deadline)
+        {
+            continue;
+        }
+        content.push_back(static_cast<std::uint8_t>(option.number >> 8U));
+        content.push_back(static_cast<std::uint8_t>(option.number));
+        content.push_back(static_cast<std::uint8_t>(option.value.size() >> 8U));
+        content.push_back(static_cast<std::uint8_t>(option.value.size()));
+        content.insert(content.end(), option.value.begin(), option.value.end());
+    }
+    content.insert(
+        content.end(), request.payload.begin(), request.payload.end());
+    XXH128_canonical_t digest;
+    XXH128_canonicalFromHash(
+        &digest, XXH3_128bits(content.data(), content.size()));
+    tag.insert(tag.end(), std::begin(digest.digest), std::end(digest.digest));
+}
+
+} // namespace
+
 request_key make_request_key(const flow_key& flow, const coap_message& request)
 {
     request_key key{flow, {}};
     const auto* tag = request.find(coap_option_number::request_tag);
     key.tag = tag != nullptr ? tag->value : request.token;
     key.tag.push_back(tag != nullptr ? 1 : 0);
+    if (tag == nullptr)
+    {
+        append_content_digest(key.tag, request);
+    }
     if (const auto* block = request.find(coap_option_number::block1))
     {
         key.tag.insert(key.tag.end(), block->value.begin(), block->value.end());
