Withhold an answer that could be taken for that to another request

A caller of non-confirmable requests that used a token again while its former request ran, or whose former request arrived once more, got the former answer. Cause: callers match such an answer by its token only. The answer of the running request was sent although another one with its token had arrived, and a recorded one was repeated while another ran. Change: if requests with one token compete and one is not confirmable, the answer of the running one is withheld, and a recorded one is not repeated meanwhile. The caller's repetition gets its answer. Confirmable requests are answered as before: their answers carry the message id.

--- a/include/masticslip/core/detail/request_controller.hpp
+++ b/include/masticslip/core/detail/request_controller.hpp
@@ -76,6 +76,7 @@
         const request_context& context, instance_incarnation target) override;
     [[nodiscard]] bool
     is_in_progress(const request_context& context) const override;
+    void withhold_ambiguous_answer(const request_context& context) override;
 
 private:
     /// Purpose of an exchange with the upstream.
@@ -96,6 +97,7 @@
         request_key key;
         std::uint8_t hops = 0;
         forward_mode mode = forward_mode::owner;
+        bool is_answer_withheld = false;
         time_point started;
         time_point deadline;
         /// For hand_over: the message and its sender.
--- a/include/masticslip/core/detail/request_filters.hpp
+++ b/include/masticslip/core/detail/request_filters.hpp
@@ -74,6 +74,11 @@
     /// True if an exchange for this flow and token is in progress.
     [[nodiscard]] virtual bool
     is_in_progress(const request_context& context) const = 0;
+
+    /// Withholds the answer of the exchange in progress if the caller may take
+    /// it for that to this other request: both have the same token, and one is
+    /// not confirmable.
+    virtual void withhold_ambiguous_answer(const request_context& context) = 0;
 };
 
 /// One step of the chain. Not thread-safe.
--- a/src/core/request_controller.cpp
+++ b/src/core/request_controller.cpp
@@ -237,9 +237,12 @@
     {
         this->records.finish(now, item.key, answer);
     }
-    this->answers.send(
-        now, item.flow, item.entry, item.trace, item.request,
-        std::move(answer));
+    if (!item.is_answer_withheld)
+    {
+        this->answers.send(
+            now, item.flow, item.entry, item.trace, item.request,
+            std::move(answer));
+    }
 }
 
 void request_controller::complete_hand_over(
@@ -411,6 +414,20 @@
     this->records.expire(now);
 }
 
+void request_controller::withhold_ambiguous_answer(const request_context& item)
+{
+    exchange& running = this->exchanges.at(
+        this->by_token.at(make_token_key(item.flow(), item.request)));
+    // An acknowledgement carries the message id of its request.
+    const bool is_matched_by_token =
+        running.request.type == coap_type::non_confirmable ||
+        item.request.type == coap_type::non_confirmable;
+    if (is_matched_by_token && !(running.key == item.key))
+    {
+        running.is_answer_withheld = true;
+    }
+}
+
 bool request_controller::is_in_progress(const request_context& item) const
 {
     return this->by_token.contains(make_token_key(item.flow(), item.request));
--- a/src/core/request_endings.cpp
+++ b/src/core/request_endings.cpp
@@ -35,9 +35,12 @@
         this->records.finish(now, item.key, answer);
     }
     this->context.report(now, event_kind::request_unknown, item.flow, code);
-    this->answers.send(
-        now, item.flow, item.entry, item.trace, item.request,
-        std::move(answer));
+    if (!item.is_answer_withheld)
+    {
+        this->answers.send(
+            now, item.flow, item.entry, item.trace, item.request,
+            std::move(answer));
+    }
 }
 
 void request_controller::refuse(const request_context& item, result_code code)
--- a/src/core/request_filters.cpp
+++ b/src/core/request_filters.cpp
@@ -120,13 +120,25 @@
             request.request.is_non_idempotent() && record != nullptr;
         if (!recorded)
         {
-            return !this->actions.is_in_progress(request);
+            const bool is_free = !this->actions.is_in_progress(request);
+            if (!is_free)
+            {
+                this->actions.withhold_ambiguous_answer(request);
+            }
+            return is_free;
         }
         this->context.report(
             request.now, event_kind::request_repeated, request.flow());
         if (record->answer)
         {
-            this->actions.repeat_answer(request, *record->answer);
+            // A confirmable request's answer carries its message id.
+            const bool is_ambiguous =
+                request.request.type == coap_type::non_confirmable &&
+                this->actions.is_in_progress(request);
+            if (!is_ambiguous)
+            {
+                this->actions.repeat_answer(request, *record->answer);
+            }
         }
         else if (record->transferred_to)
         {
--- a/tests/reused_token_test.cpp
+++ b/tests/reused_token_test.cpp
@@ -53,7 +53,15 @@
      coap_code::post, true, 50ms, 5ms},
     {"unsafe_after_safe", con, coap_code::get, coap_code::post, false, 2s, 5ms},
     {"safe_while_unsafe_runs", con, coap_code::post, coap_code::get, false,
-     50ms, 5ms}};
+     50ms, 5ms},
+    {"non_confirmable_after", non, coap_code::get, coap_code::get, false, 2s,
+     5ms},
+    {"non_confirmable_while_running", non, coap_code::get, coap_code::get,
+     false, 50ms, 5ms},
+    {"non_confirmable_unsafe_after", non, coap_code::post, coap_code::post,
+     false, 2s, 5ms},
+    {"non_confirmable_unsafe_while_running", non, coap_code::post,
+     coap_code::post, true, 50ms, 5ms}};
 
 /// Caller 0 of a fleet, which has an Echo value.
 class token_caller
