Show that the last notification of a watch is sent only once

A caller whose watch the upstream, a stopping companion or a withdrawn domain ends is not told if that packet is lost: its watch stays silent. Cause: watch_controller erases the watch together with the confirmable message that tells its end, so nothing retransmits it. A fix keeps ended watches until the acknowledgement, and with them a stopping companion's exit, its drain and the reuse of the token; that is more than a small change.

--- a/src/core/watch_controller_test.cpp
+++ b/src/core/watch_controller_test.cpp
@@ -70,6 +70,12 @@
         return settings;
     }
 
+    /// Message id of the last packet.
+    std::uint16_t last_id() const
+    {
+        return this->codec.decode(this->output.replies.back())->message_id;
+    }
+
     const time_point start{1s};
     const flow_key flow{{0x7f000001, 4000}, make_service_id("meetups")};
     const instance_id entry{endpoint{0x0a000001, 7000}.packed()};
@@ -103,4 +109,22 @@
     BOOST_TEST(ids.size() == 4U);
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    a_final_notification_is_retransmitted_until_it_is_acknowledged,
+    watch_fixture)
+{
+    coap_message final;
+    final.code = coap_code::not_found;
+    BOOST_REQUIRE(this->watches.on_notification(this->start, 1, final));
+    BOOST_REQUIRE(
+        this->watches.on_acknowledgement(this->flow, this->last_id() - 1));
+    const std::uint16_t id = this->last_id();
+    const std::size_t sent = this->output.replies.size();
+
+    this->watches.on_tick(this->start + 3s);
+
+    BOOST_REQUIRE(this->output.replies.size() == sent + 1);
+    BOOST_TEST(this->last_id() == id);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
