--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -30,6 +30,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace masticslip
@@ -129,6 +130,10 @@
     /// packet for as long as makes a status overdue.
     [[nodiscard]] bool upstream_is_down(time_point now) const;
 
+    /// True if the process may exit after on_stop: no request is in flight, or
+    /// its time limit has passed.
+    [[nodiscard]] bool may_exit(time_point now) const;
+
     [[nodiscard]] std::size_t flow_count() const
     {
         return this->flows.size();
@@ -148,6 +153,12 @@
         absent ///< The upstream has answered that it does not hold it.
     };
 
+    struct unconfirmed_opening
+    {
+        std::uint32_t sequence = 0;
+        instance_id entry;
+    };
+
     struct flow_record
     {
         flow_state state = flow_state::half_open;
@@ -169,6 +180,9 @@
         std::uint32_t caller_sequence = 0;
         time_point created;
         time_point last_packet;
+        /// An opening with another sequence number that was forwarded while
+        /// this flow was established.
+        std::optional<unconfirmed_opening> next;
 
         /// True if the flow became known by later packets than its opening.
         [[nodiscard]] bool is_learned() const
@@ -176,6 +190,16 @@
             return !this->opening_seen && (this->state == flow_state::open ||
                                            this->state == flow_state::probing);
         }
+
+        /// True if the upstream has accepted the flow and neither side has
+        /// closed it, as far as is known.
+        [[nodiscard]] bool is_established() const
+        {
+            return this->opening_seen && this->accepted &&
+                   !this->caller_closed && !this->upstream_closed &&
+                   (this->state == flow_state::half_open ||
+                    this->state == flow_state::open);
+        }
     };
 
     using flow_table = boost::unordered_flat_map<
@@ -193,6 +217,17 @@
         instance_id entry,
         flow_record& flow,
         const flow_packet& packet);
+    /// Forwards an opening with another sequence number than that of an
+    /// established flow: a late copy for a former flow, or a new flow of a
+    /// caller that has lost this one. Only the upstream can tell.
+    void forward_unconfirmed_opening(
+        time_point now,
+        instance_id entry,
+        flow_record& flow,
+        const flow_packet& packet);
+    /// Replaces a flow by a new one between the same endpoints.
+    void replace_flow(
+        time_point now, flow_record& flow, const unconfirmed_opening& opening);
     result_code admission(time_point now, const flow_packet& packet);
     result_code route_admission(const flow_packet& packet) const;
     void refuse(
@@ -206,8 +241,9 @@
     return_packet(time_point now, instance_id entry, const flow_packet& packet);
     void forward_to_upstream(time_point now, const flow_packet& packet);
     static bool acknowledges(const flow_record& flow, std::uint32_t number);
-    /// True unless the acknowledgement shows that a caller's packet belongs to
-    /// a former flow between the same endpoints.
+    /// True unless the acknowledgement or, without one, the sequence number
+    /// shows that a caller's packet belongs to a former flow between the same
+    /// endpoints.
     static bool
     may_belong_to(const flow_record& flow, const flow_packet& packet);
     /// Probes a half-open flow that the upstream may have held before this
@@ -251,6 +287,8 @@
     void expire_flows(time_point now);
     void expire_reservations(time_point now);
     void observe(time_point now);
+    /// True just after a freeze, while messages from before its end are read.
+    [[nodiscard]] bool reads_backlog(time_point now) const;
     void emit(
         time_point now,
         flow_event_kind kind,
@@ -304,11 +342,14 @@
     std::uint32_t open_flows = 0;
     /// Start of the process, or the end of its last freeze.
     time_point observing_since;
+    /// End of the last freeze.
+    time_point resumed_at;
     /// Until then the upstream may hold open flows that were evicted here.
     time_point evicted_until;
     time_point next_sweep;
     time_point next_hint_sweep;
     bool stopping = false;
+    time_point stopped_at;
     bool was_withdrawn = false;
     bool is_registration_continuous = false;
     result_code last_refusal = result_code::not_run_no_upstream;
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -13,6 +13,11 @@
 /// After a freeze, new flows wait at most this long for an entry to confirm the
 /// policy.
 constexpr std::chrono::seconds policy_confirmation_timeout{4};
+/// A stopping process waits at most this long for answers to the requests in
+/// flight: the queue of a busy upstream.
+constexpr std::chrono::milliseconds stop_limit{400};
+/// What is read this soon after a freeze may have been sent during it.
+constexpr std::chrono::milliseconds backlog_time{100};
 /// Entries without a hello for this long are removed.
 constexpr std::chrono::seconds entry_retention{30};
 /// An entry without a hello for this long is sent reports unsolicited: it may
@@ -85,6 +90,10 @@
             result_code::dropped_stale, status.incarnation.id);
         return false;
     }
+    if (this->reads_backlog(now))
+    {
+        this->monitor.invalidate_status();
+    }
     if (is_restart)
     {
         this->backoff.clear();
@@ -148,6 +157,12 @@
         this->return_packet(now, entry, packet);
         return;
     }
+    if (!may_belong_to(flow, packet))
+    {
+        // The upstream judges a late packet of a former flow.
+        this->forward_to_upstream(now, packet);
+        return;
+    }
     flow.entry = entry;
     flow.last_packet = now;
     if (flow.state == flow_state::half_open)
@@ -234,7 +249,8 @@
     {
         this->output.fetch_policy(sender);
     }
-    if (message.policy.position == this->current_policy().position())
+    if (message.policy.position == this->current_policy().position() &&
+        !this->reads_backlog(now))
     {
         this->freeze.on_answer(now);
     }
@@ -312,9 +328,15 @@
 {
     this->observe(now);
     this->stopping = true;
+    this->stopped_at = now;
     this->send_reports(now);
 }
 
+bool companion_flow_core::may_exit(time_point now) const
+{
+    return this->in_flight == 0 || now - this->stopped_at >= stop_limit;
+}
+
 void companion_flow_core::observe(time_point now)
 {
     const bool has_resumed = this->freeze.observe(now);
@@ -328,6 +350,7 @@
     }
     if (has_resumed)
     {
+        this->resumed_at = now;
         this->monitor.invalidate_status();
         this->emit(
             now, flow_event_kind::freeze_detected, {}, {},
@@ -335,6 +358,12 @@
     }
 }
 
+bool companion_flow_core::reads_backlog(time_point now) const
+{
+    return this->resumed_at != time_point{} &&
+           now - this->resumed_at < backlog_time;
+}
+
 void companion_flow_core::emit(
     time_point now,
     flow_event_kind kind,
