Remember a companion's own removal when it registers again

Cause: a companion that was taken away had removed its key, and started once more when the power came back. As its key was missing, it reported that its registration might have been lost; entries that had started then reset no caller of that service for 3 s. Change: the removal is recorded under the lease of the removed key, outside the watched prefix, and read at the start if the key is missing. One write for a companion that leaves, one read for one that starts without its key. Open: companions that vanish without a word (docs/incidents).

--- a/src/node/member_registration.cpp
+++ b/src/node/member_registration.cpp
@@ -30,6 +30,9 @@
 /// After the store was restored, the processes of a fleet register again within
 /// this time, each at a moment that its key determines.
 constexpr std::uint64_t registration_spread_ms = 1'000;
+/// Prefix of the key that records that a process removed its own key. Outside
+/// the prefixes that are watched, so it costs one write.
+constexpr const char* departure_prefix = "masticslip/departed/";
 /// Processes whose registrations were lost together have registered again
 /// within this time: two seconds, and the time until the list is read.
 constexpr std::chrono::seconds recovery_time{3};
@@ -101,6 +104,13 @@
 asio::awaitable<void> member_registration::deregister()
 {
     this->is_deregistered = true;
+    if (this->lease != 0)
+    {
+        // Expires with the lease, like the key.
+        const auto recorded = co_await this->store.put(
+            departure_prefix + this->key, {}, this->lease);
+        this->report_result("record", recorded.status, recorded.reason);
+    }
     const auto result = co_await this->store.remove(this->key);
     this->report_result("remove", result.status, result.reason);
 }
@@ -148,14 +158,28 @@
 
 asio::awaitable<void> member_registration::look_up()
 {
-    const auto result = co_await this->store.read_range(this->key);
+    const auto is_kept_in_store = co_await this->is_in_store(this->key);
+    this->is_kept = is_kept_in_store.value_or(false);
+    if (is_kept_in_store && !this->is_kept)
+    {
+        const auto is_departed =
+            co_await this->is_in_store(departure_prefix + this->key);
+        this->is_kept = is_departed.value_or(false);
+    }
+}
+
+asio::awaitable<std::optional<bool>>
+member_registration::is_in_store(std::string searched)
+{
+    const auto result = co_await this->store.read_range(searched);
     this->report_result("read", result.status, result.reason);
-    if (result.value)
+    if (!result.value)
     {
-        this->is_kept = std::any_of(
-            result.value->items.begin(), result.value->items.end(),
-            [this](const auto& item) { return item.key == this->key; });
+        co_return std::nullopt;
     }
+    co_return std::any_of(
+        result.value->items.begin(), result.value->items.end(),
+        [&searched](const auto& item) { return item.key == searched; });
 }
 
 asio::awaitable<bool> member_registration::grant()
--- a/src/node/member_registration.hpp
+++ b/src/node/member_registration.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
+#include <optional>
 #include <string>
 
 namespace masticslip
@@ -38,18 +39,23 @@
     /// Call if another process has seen this era of the store.
     void on_era(std::uint64_t era);
 
-    /// True if the key has been registered without a gap since before this
-    /// process started, or long enough for other processes to register again
-    /// after a loss of many registrations.
+    /// True if the store has not lost the registration since before this
+    /// process started, or if it has existed long enough for other processes to
+    /// register again after a loss of many registrations.
     [[nodiscard]] bool is_continuous() const;
 
-    /// Removes the key and stops registering it.
+    /// Removes the key and stops registering it. That it was removed stays on
+    /// record for the lifetime of the lease.
     boost::asio::awaitable<void> deregister();
 
 private:
     boost::asio::awaitable<void> run();
-    /// Reads whether the key outlasted the start of this process.
+    /// Reads whether the key outlasted the start of this process, or was
+    /// removed by a former process itself.
     boost::asio::awaitable<void> look_up();
+    /// Reads whether the store holds a key; nullopt if the read failed.
+    boost::asio::awaitable<std::optional<bool>>
+    is_in_store(std::string searched);
     boost::asio::awaitable<bool> grant();
     boost::asio::awaitable<bool> write();
     boost::asio::awaitable<bool> renew();
@@ -76,7 +82,8 @@
     /// Newest era that another process has reported.
     std::uint64_t reported_era = 0;
     bool is_written = false;
-    /// The key existed when this process started, and was not lost since.
+    /// The key, or the record of its removal, existed when this process
+    /// started, and the key was not lost since.
     bool is_kept = false;
     bool is_deregistered = false;
     unsigned failures = 0;
