Name what a rejected opening waited for

Callers saw: nothing; the operator was misled. Cause: an opening that waited behind others was never tried at a companion, and its rejection had the code of a companion without upstream. Change: without any try, the code is that of a full candidate.

--- a/src/flow/entry_openings.cpp
+++ b/src/flow/entry_openings.cpp
@@ -61,6 +61,26 @@
     load.cold_capacity = std::max(load.cold_capacity, 1U);
 }
 
+/// Reason why no candidate takes a flow: a full one, which may soon have room,
+/// rather than one that takes none. `otherwise` if there are no candidates.
+result_code common_refusal(
+    const std::vector<placement_candidate>& candidates, result_code otherwise)
+{
+    for (const placement_candidate& candidate : candidates)
+    {
+        const upstream_load& load = candidate.load;
+        if (load.refusal == result_code::done && load.is_cold)
+        {
+            return result_code::not_run_upstream_cold;
+        }
+        if (load.refusal == result_code::not_run_overloaded)
+        {
+            return load.refusal;
+        }
+    }
+    return otherwise;
+}
+
 } // namespace
 
 void entry_flow_core::on_opening(time_point now, const flow_packet& packet)
@@ -195,6 +215,12 @@
     }
     if (!chosen)
     {
+        if (item.tried.empty() &&
+            item.last_refusal == result_code::not_run_no_upstream)
+        {
+            // It has waited without being tried at any companion.
+            item.last_refusal = common_refusal(candidates, item.last_refusal);
+        }
         this->reject(now, flow, item);
         return;
     }
--- a/tests/flow/entry_flow_core_test.cpp
+++ b/tests/flow/entry_flow_core_test.cpp
@@ -369,6 +369,38 @@
     BOOST_TEST(output.packets.size() == 1U);
 }
 
+// Openings behind others in the queue are not tried at a companion.
+BOOST_AUTO_TEST_CASE(
+    a_rejection_after_waiting_names_what_the_opening_waited_for)
+{
+    const auto rejection_of = [](const upstream_load& load)
+    {
+        entry_fixture entry;
+        companion_report report = ready_report(1);
+        report.load = load;
+        entry.core.on_policy(at(0ms), test_policy(7));
+        entry.core.on_message(at(0ms), companion(1), report);
+        entry.core.on_caller_packet(at(0ms), opening_packet(test_flow(1)));
+        for (auto now = 20ms; now <= 5'000ms; now += 20ms)
+        {
+            entry.core.on_message(at(now), companion(1), report);
+            entry.core.on_tick(at(now));
+        }
+        BOOST_TEST(entry.output.packets.empty());
+        BOOST_REQUIRE(entry.events.count(flow_event_kind::flow_rejected) == 1U);
+        return entry.events.events.back().code;
+    };
+    upstream_load load = ready_report(1).load;
+    load.refusal = result_code::not_run_overloaded;
+    BOOST_TEST((rejection_of(load) == result_code::not_run_overloaded));
+    load.refusal = result_code::not_run_no_upstream;
+    BOOST_TEST((rejection_of(load) == result_code::not_run_no_upstream));
+    load.refusal = result_code::done;
+    load.is_cold = true;
+    load.cold_capacity = 0;
+    BOOST_TEST((rejection_of(load) == result_code::not_run_upstream_cold));
+}
+
 BOOST_FIXTURE_TEST_CASE(
     a_report_of_free_capacity_places_waiting_openings_at_once, entry_fixture)
 {
