--- a/tests/flow/entry_evidence_test.cpp
+++ b/tests/flow/entry_evidence_test.cpp
@@ -15,14 +15,6 @@
 namespace
 {
 
-/// A report with the number of companions that others have stated.
-companion_report sized_report(std::uint16_t number, std::uint32_t size)
-{
-    companion_report report = ready_report(number);
-    report.service_size = size;
-    return report;
-}
-
 /// Companions 1 and 2 serve "meetups", 3 and 4 "papers", which the route names
 /// from version 8 on. Flow 1 was opened at companion 1 through another entry,
 /// before the change.
@@ -33,8 +25,7 @@
         this->make_ready(2);
         for (const std::uint16_t i : {3, 4})
         {
-            companion_report report = ready_report(i);
-            report.service = "papers";
+            companion_report report = report_of_service(i, "papers");
             this->core.on_message(at(0ms), companion(i), report);
         }
         configuration changed = test_policy(8)->value();
@@ -138,8 +129,7 @@
     a_restarted_companion_of_an_unrelated_service_prevents_no_reset,
     changed_route_fixture)
 {
-    companion_report report = ready_report(5);
-    report.service = "tickets";
+    companion_report report = report_of_service(5, "tickets");
     core.on_message(at(1ms), companion(5), report);
     core.on_caller_packet(at(2ms), data_packet(test_flow(1), 1'001, 2));
     answer_absent(3ms, {3, 4, 1, 2}, test_flow(1));
@@ -235,8 +225,7 @@
     core.on_policy(
         at(1ms),
         std::make_shared<policy>(store_position{0, 8}, std::move(changed)));
-    companion_report report = ready_report(3);
-    report.service = "papers";
+    companion_report report = report_of_service(3, "papers");
     report.service_size = 1;
     core.on_message(at(1ms), companion(3), report);
     core.on_list_read(at(1ms));
@@ -261,8 +250,7 @@
     entry_fixture)
 {
     make_ready(2);
-    companion_report report = ready_report(3);
-    report.service = "papers";
+    companion_report report = report_of_service(3, "papers");
     core.on_message(at(0ms), companion(3), report);
     core.on_caller_packet(at(2ms), data_packet(test_flow(1), 1'001, 2));
     answer_absent(3ms, {1, 2}, test_flow(1));
@@ -277,8 +265,7 @@
     make_ready(2);
     for (std::uint16_t i = 3; i < 303; ++i)
     {
-        companion_report report = ready_report(i);
-        report.service = "papers";
+        companion_report report = report_of_service(i, "papers");
         core.on_message(at(0ms), companion(i), report);
     }
     core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'001, 2));
--- a/tests/flow/entry_fixture.hpp
+++ b/tests/flow/entry_fixture.hpp
@@ -37,6 +37,23 @@
     return report;
 }
 
+/// A report with the number of companions that others have stated.
+inline companion_report sized_report(std::uint16_t number, std::uint32_t size)
+{
+    companion_report report = ready_report(number);
+    report.service_size = size;
+    return report;
+}
+
+/// A report of a companion that accepts new flows of this service.
+inline companion_report
+report_of_service(std::uint16_t number, const std::string& service)
+{
+    companion_report report = ready_report(number);
+    report.service = service;
+    return report;
+}
+
 /// The registration of the companion with this number.
 inline companion_record registration(std::uint16_t number)
 {
--- a/tests/flow/entry_open_evidence_test.cpp
+++ b/tests/flow/entry_open_evidence_test.cpp
@@ -13,20 +13,6 @@
 namespace
 {
 
-companion_report sized_report(std::uint16_t number, std::uint32_t size)
-{
-    companion_report report = ready_report(number);
-    report.service_size = size;
-    return report;
-}
-
-companion_report papers_report(std::uint16_t number)
-{
-    companion_report report = ready_report(number);
-    report.service = "papers";
-    return report;
-}
-
 companion_report gone_report(std::uint16_t number, std::uint32_t size = 0)
 {
     companion_report report = sized_report(number, size);
@@ -184,7 +170,7 @@
     make_ready(2);
     for (auto now = 0ms; now <= 61'000ms; now += 250ms)
     {
-        core.on_message(at(now), companion(3), papers_report(3));
+        core.on_message(at(now), companion(3), report_of_service(3, "papers"));
         report_from({1, 2}, now, now);
     }
     core.on_caller_packet(at(61'001ms), data_packet(test_flow(1), 1'001, 2));
