Add fields for order, measured service and probation to layer-4 messages

Cause: reports and answers carry no order, and loads say nothing of how an upstream answers, so that the parts of docs/design/load-and-recovery.md have nothing to build on. Nothing fills the fields in yet.

--- a/include/masticslip/core/result_code.hpp
+++ b/include/masticslip/core/result_code.hpp
@@ -26,6 +26,7 @@
     not_run_no_route = 108,
     not_run_upstream_leaving = 109,
     not_run_upstream_cold = 110,
+    not_run_wait_too_long = 111,
     // It is unknown whether the request was executed.
     unknown_companion_gone = 201,
     unknown_record_expired = 202,
@@ -63,7 +64,7 @@
 };
 
 /// All codes in ascending order.
-extern const std::array<result_code_entry, 34> result_code_table;
+extern const std::array<result_code_entry, 35> result_code_table;
 
 /// Returns the stable name of a code.
 std::string_view to_string(result_code code);
--- a/include/masticslip/flow/flow_messages.hpp
+++ b/include/masticslip/flow/flow_messages.hpp
@@ -10,6 +10,8 @@
 #include "masticslip/flow/flow_packet.hpp"
 #include "masticslip/flow/policy_mark.hpp"
 
+#include <chrono>
+#include <compare>
 #include <string>
 #include <variant>
 
@@ -31,10 +33,32 @@
     bool is_cold = false;
     /// New flows that a cold upstream can accept now.
     std::uint32_t cold_capacity = 0;
+    /// Median time of a request at work; zero: not measured.
+    std::chrono::microseconds request_time{};
+    /// Number of requests from which `request_time` was measured.
+    std::uint32_t request_samples = 0;
+    /// Requests that were answered in the last second.
+    std::uint32_t finished_per_second = 0;
+    /// The upstream has lately ended flows without an answer: it receives new
+    /// flows only if no other upstream accepts them.
+    bool on_probation = false;
 
     bool operator==(const upstream_load&) const = default;
 };
 
+/// Order of the reports of one companion address. It rises with each report and
+/// with each restart of the process, so that a late report can be ignored.
+struct report_order
+{
+    /// Start time of the process in microseconds since the Unix epoch, or above
+    /// that of the former process if the clock was set back.
+    std::uint64_t process = 0;
+    /// Number of the report in its process.
+    std::uint64_t number = 0;
+
+    auto operator<=>(const report_order&) const = default;
+};
+
 /// Entry to companion: heartbeat with the mark of the entry's policy.
 struct entry_hello
 {
@@ -44,6 +68,9 @@
     /// Number of companions of the receiver's service; zero: the entry does not
     /// know all of them.
     std::uint32_t service_size = 0;
+    /// The newest order that the entry has accepted from the receiver's
+    /// address; zero: none.
+    report_order newest_report{};
 };
 
 /// Companion to entry: identity, load and policy.
@@ -68,6 +95,7 @@
     /// The companion's registration was not lost recently. The store may have
     /// lost others together with it.
     bool is_registration_continuous = false;
+    report_order order{};
 };
 
 /// The upstream has accepted a flow.
@@ -111,6 +139,9 @@
     ownership answer = ownership::absent;
     /// Owner according to an entry's hint; zero: not known.
     instance_id owner{};
+    /// Repeats owner_query::acknowledged. Zero in an answer that was not asked
+    /// for.
+    std::uint32_t acknowledged = 0;
 };
 
 /// Entry to the highest-ranked companions of a flow: its owner, so that an
--- a/src/core/result_code.cpp
+++ b/src/core/result_code.cpp
@@ -5,7 +5,7 @@
 namespace masticslip
 {
 
-const std::array<result_code_entry, 34> result_code_table{{
+const std::array<result_code_entry, 35> result_code_table{{
     {result_code::done, "done"},
     {result_code::not_run_echo_required, "not_run_echo_required"},
     {result_code::not_run_overloaded, "not_run_overloaded"},
@@ -17,6 +17,7 @@
     {result_code::not_run_no_route, "not_run_no_route"},
     {result_code::not_run_upstream_leaving, "not_run_upstream_leaving"},
     {result_code::not_run_upstream_cold, "not_run_upstream_cold"},
+    {result_code::not_run_wait_too_long, "not_run_wait_too_long"},
     {result_code::unknown_companion_gone, "unknown_companion_gone"},
     {result_code::unknown_record_expired, "unknown_record_expired"},
     {result_code::unknown_upstream_silent, "unknown_upstream_silent"},
--- a/src/wire/flow_message_codec.cpp
+++ b/src/wire/flow_message_codec.cpp
@@ -2,7 +2,9 @@
 
 #include "message_archive.hpp"
 
+#include <algorithm>
 #include <istream>
+#include <limits>
 #include <ostream>
 
 namespace masticslip
@@ -49,6 +51,24 @@
     }
 }
 
+template <class Archive, class Value>
+void microseconds_field(Archive& archive, Value& value)
+{
+    if constexpr (Archive::is_reading)
+    {
+        std::uint32_t raw = 0;
+        archive.plain(raw);
+        value = std::chrono::microseconds(raw);
+    }
+    else
+    {
+        // Values of more than an hour are cut off.
+        const std::int64_t limit = std::numeric_limits<std::uint32_t>::max();
+        archive.plain(static_cast<std::uint32_t>(
+            std::clamp<std::int64_t>(value.count(), 0, limit)));
+    }
+}
+
 template <class Archive, class Value>
 void load_field(Archive& archive, Value& value)
 {
@@ -58,6 +78,17 @@
     result_code_field(archive, value.refusal);
     archive.plain(value.is_cold);
     archive.plain(value.cold_capacity);
+    microseconds_field(archive, value.request_time);
+    archive.plain(value.request_samples);
+    archive.plain(value.finished_per_second);
+    archive.plain(value.on_probation);
+}
+
+template <class Archive, class Value>
+void report_order_field(Archive& archive, Value& value)
+{
+    archive.plain(value.process);
+    archive.plain(value.number);
 }
 
 template <class Archive, class Value>
@@ -77,6 +108,7 @@
     policy_mark_field(archive, message.policy);
     archive.plain(message.is_listed);
     archive.plain(message.service_size);
+    report_order_field(archive, message.newest_report);
 }
 
 template <class Archive, is_message<companion_report> Message>
@@ -93,6 +125,7 @@
     archive.plain(message.has_left);
     archive.plain(message.service_size);
     archive.plain(message.is_registration_continuous);
+    report_order_field(archive, message.order);
 }
 
 template <class Archive, is_message<flow_opened> Message>
@@ -124,6 +157,7 @@
     flow_ends_field(archive, message.flow);
     enum_field(archive, message.answer, ownership::owned);
     strong_type_field(archive, message.owner);
+    archive.plain(message.acknowledged);
 }
 
 template <class Archive, is_message<owner_hint> Message>
--- a/src/wire/flow_message_codec_test.cpp
+++ b/src/wire/flow_message_codec_test.cpp
@@ -13,12 +13,22 @@
 {
 
 const flow_endpoints flow{{1, 2}, {3, 4}};
-const upstream_load load{3, 40, 5, result_code::not_run_upstream_cold, true, 2};
+const upstream_load load{
+    3,
+    40,
+    5,
+    result_code::not_run_upstream_cold,
+    true,
+    2,
+    std::chrono::microseconds(31'000),
+    17,
+    96,
+    true};
 
 const policy_mark mark{{3, 77}, 2, 9, 11, 12};
 
 const std::vector<flow_message> messages{
-    entry_hello{mark, false, 7},
+    entry_hello{mark, false, 7, {21, 22}},
     companion_report{
         "side-1",
         "meetups",
@@ -30,11 +40,12 @@
         true,
         true,
         7,
-        true},
+        true,
+        {23, 24}},
     flow_opened{flow, 99, load},
     flow_refused{flow, result_code::not_run_overloaded, load},
     owner_query{flow, 12},
-    owner_answer{flow, ownership::uncertain, {99}},
+    owner_answer{flow, ownership::uncertain, {99}, 13},
     packet_returned{bytes(1'232, 7)},
     owner_hint{flow, {98}}};
 
