Check whether the upstream is present when it sends no status

Cause: a companion that returned without its upstream answered "uncertain" for 2.5 status intervals, and exited without reporting that its upstream had gone when it was stopped earlier. Until its lease ended no lost flow of the service was reset.

A refused connection is evidence that no former flow is held and that later incarnations are observed from their start, unless the process was suspended or the upstream sent something between request and result. A status or packet that contradicts it ends it; then only a check that finds the upstream running makes later ones count. A flow that was probed is returned once the upstream is known not to hold it. Hosts of the virtual fleet and of the soak answer the check.

The test a_companion_that_stops_says_whether_its_upstream_has_ended now answers the check that the stop waits for, before it reads the last report; what it expects is unchanged.

--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -54,6 +54,10 @@
     virtual void fetch_policy(instance_id from) = 0;
     /// An entry reports that the store does not list this companion.
     virtual void on_not_listed() = 0;
+    /// Opens a connection to the upstream's address and closes it without
+    /// sending anything. The result is passed to on_presence exactly once, not
+    /// during this call. Not called again before that.
+    virtual void check_presence() = 0;
 };
 
 /// Identity and limits of a companion.
@@ -90,6 +94,9 @@
     bool on_status(time_point now, const upstream_status& status);
     bool on_departure(time_point now, const upstream_incarnation& incarnation);
 
+    /// Result of the presence check that was requested last.
+    void on_presence(time_point now, upstream_presence result);
+
     /// An entry forwarded a packet of a caller.
     void on_caller_packet(
         time_point now, instance_id entry, const flow_packet& packet);
@@ -106,7 +113,8 @@
     /// States whether the registration in the store was not lost recently.
     void on_registration(bool is_continuous);
 
-    /// Notifies the entries that the process is about to stop.
+    /// Notifies the entries that the process is about to stop, and checks
+    /// whether its upstream has ended.
     void on_stop(time_point now);
 
     [[nodiscard]] upstream_load load(time_point now);
@@ -126,12 +134,12 @@
         return this->monitor;
     }
 
-    /// True if the upstream has departed, or has sent neither its status nor a
-    /// packet for as long as makes a status overdue.
+    /// True if the upstream has departed or is absent, or has sent neither its
+    /// status nor a packet for as long as makes a status overdue.
     [[nodiscard]] bool upstream_is_down(time_point now) const;
 
-    /// True if the process may exit after on_stop: no request is in flight, or
-    /// its time limit has passed.
+    /// True if the process may exit after on_stop: the presence check has ended
+    /// and no request is in flight, or their time limits have passed.
     [[nodiscard]] bool may_exit(time_point now) const;
 
     [[nodiscard]] std::size_t flow_count() const
@@ -289,6 +297,16 @@
     void observe(time_point now);
     /// True just after a freeze, while messages from before its end are read.
     [[nodiscard]] bool reads_backlog(time_point now) const;
+    /// Requests a presence check unless one is in progress.
+    void check_presence(time_point now);
+    /// True while the upstream sends no status and its last check was long ago.
+    [[nodiscard]] bool needs_presence_check(time_point now) const;
+    /// True while a stop waits for the result of a presence check.
+    [[nodiscard]] bool awaits_presence(time_point now) const;
+    /// True if the upstream's packet belongs to a flow from before the last
+    /// absence of the upstream.
+    [[nodiscard]] bool contradicts_absence(
+        const flow_record& flow, const flow_packet& packet) const;
     void emit(
         time_point now,
         flow_event_kind kind,
@@ -348,6 +366,9 @@
     time_point evicted_until;
     time_point next_sweep;
     time_point next_hint_sweep;
+    /// When the presence check in progress was requested; nullopt: none is.
+    std::optional<time_point> presence_asked_at;
+    time_point last_presence_check;
     bool stopping = false;
     time_point stopped_at;
     bool was_withdrawn = false;
--- a/include/masticslip/flow/upstream_monitor.hpp
+++ b/include/masticslip/flow/upstream_monitor.hpp
@@ -24,6 +24,14 @@
     outdated
 };
 
+/// Result of a presence check: a connection to the upstream's address.
+enum class upstream_presence : std::uint8_t
+{
+    running, ///< The connection was accepted: a process listens.
+    absent,  ///< The connection was refused: no process listens.
+    unknown  ///< No answer in time, or another error.
+};
+
 /// Time limits for upstream_monitor.
 struct upstream_monitor_limits
 {
@@ -58,6 +66,23 @@
     /// The upstream sent a packet itself: not one that its machine returned.
     void on_sign_of_life(time_point now);
 
+    /// A presence check that was sent at `asked_at` found no process. Returns
+    /// false if it does not count: the upstream has sent something since then,
+    /// or has contradicted an earlier absence and not been found running since.
+    bool on_absent(time_point asked_at);
+
+    /// A presence check found a process. This proves nothing about flows, but
+    /// ends an absence.
+    void on_running();
+
+    /// An absence no longer says anything about later incarnations: the process
+    /// was suspended and may not have observed their start.
+    void forget_absence();
+
+    /// The upstream has sent data of a flow that it cannot hold if it was
+    /// absent: the presence check is wrong about this upstream.
+    void refute_absence();
+
     /// Refuses new flows until the next status, because the current one may be
     /// stale.
     void invalidate_status();
@@ -73,10 +98,23 @@
     [[nodiscard]] bool is_cold(time_point now) const;
 
     /// True if every packet to this incarnation of the upstream passed through
-    /// this process, so that the upstream holds no unknown flow.
+    /// this process, so that the upstream holds no unknown flow. So it is after
+    /// an absence, whichever incarnation follows.
     [[nodiscard]] bool is_observed_since_start() const
     {
-        return this->observed_since_start;
+        return this->observed_since_start || this->absent_at.has_value();
+    }
+
+    /// True if the newest that is known of the upstream is that it was absent.
+    [[nodiscard]] bool is_absent() const
+    {
+        return this->absent;
+    }
+
+    /// Time before the newest absence that still counts; nullopt: none.
+    [[nodiscard]] std::optional<time_point> last_absent_at() const
+    {
+        return this->absent_at;
     }
 
     /// True if the upstream that sent its status here has departed.
@@ -119,8 +157,10 @@
         return this->status_received_at;
     }
 
-private:
+    /// True without a status, or if the newest is older than the limit.
     [[nodiscard]] bool is_status_overdue(time_point now) const;
+
+private:
     [[nodiscard]] bool has_status() const
     {
         return this->status_received_at != time_point{};
@@ -130,6 +170,10 @@
     [[nodiscard]] bool started_under_observation(
         const upstream_status& status, time_point now) const;
 
+    /// True if the sender's number of statuses fits a start after the absence.
+    [[nodiscard]] bool
+    started_after_absence(const upstream_status& status, time_point now) const;
+
     upstream_monitor_limits limits;
     time_point observing_since;
     std::optional<upstream_status> newest;
@@ -141,6 +185,12 @@
     bool departed = false;
     bool cold_until_status = false;
     bool observed_since_start = false;
+    /// When the check that found the upstream absent was sent.
+    std::optional<time_point> absent_at;
+    bool absent = false;
+    /// An upstream that runs while connections to it are refused does not
+    /// listen there; its checks do not count until one finds it running.
+    bool check_trusted = true;
 };
 
 } // namespace masticslip
--- a/soak/soak_hosts.cpp
+++ b/soak/soak_hosts.cpp
@@ -19,9 +19,32 @@
     ++slot.incarnation_number;
     slot.drain_acknowledged_at = {};
     slot.host->start(is_cold);
+    this->listen(index);
     this->report_status(index, slot.incarnation_number);
 }
 
+void soak_world::listen(std::size_t index)
+{
+    host_slot& slot = *this->hosts[index];
+    const std::uint32_t address = this->nodes[slot.node]->address;
+    slot.listener = std::make_unique<asio::ip::tcp::acceptor>(
+        this->context,
+        asio::ip::tcp::endpoint(asio::ip::address_v4(address), ports.upstream));
+    this->accept_connections(index);
+}
+
+void soak_world::accept_connections(std::size_t index)
+{
+    this->hosts[index]->listener->async_accept(
+        [this, index](const boost::system::error_code& error, auto)
+        {
+            if (!error && this->hosts[index]->listener)
+            {
+                this->accept_connections(index);
+            }
+        });
+}
+
 void soak_world::report_status(
     std::size_t index, std::uint64_t incarnation_number)
 {
@@ -77,6 +100,7 @@
     this->disturb(slot.node, down);
     ++slot.incarnation_number;
     slot.host->crash(bounces);
+    slot.listener.reset();
     const std::uint64_t incarnation_number = slot.incarnation_number;
     this->queue.after(
         down,
--- a/soak/soak_slots.hpp
+++ b/soak/soak_slots.hpp
@@ -4,6 +4,8 @@
 #include "platform/platform_texts.hpp"
 #include "soak_world.hpp"
 
+#include <boost/asio/ip/tcp.hpp>
+
 #include <optional>
 
 namespace masticslip::soak
@@ -67,6 +69,8 @@
 {
     std::unique_ptr<standin::virtual_host> host;
     std::unique_ptr<datagram_socket> packets;
+    /// Accepts connections at the packet address while the upstream runs.
+    std::unique_ptr<boost::asio::ip::tcp::acceptor> listener;
     std::size_t node = 0;
     std::string service;
     std::uint32_t domain = 0;
--- a/soak/soak_world.hpp
+++ b/soak/soak_world.hpp
@@ -189,6 +189,9 @@
     void supervise();
     void probe_entries();
     boost::asio::awaitable<void> probe(std::size_t index);
+    /// Accepts connections at the address of an upstream until it crashes.
+    void listen(std::size_t index);
+    void accept_connections(std::size_t index);
     void report_status(std::size_t index, std::uint64_t incarnation_number);
     boost::asio::awaitable<void>
     send_status(std::size_t index, upstream_status status);
--- a/src/flow/companion_admission.cpp
+++ b/src/flow/companion_admission.cpp
@@ -286,8 +286,8 @@
 {
     // A companion that stops after its upstream has ended does not return.
     return this->upstream_is_down(now) &&
-           (this->stopping || this->monitor.has_departed() ||
-            this->monitor.may_have_departed());
+           ((this->stopping && !this->awaits_presence(now)) ||
+            this->monitor.has_departed() || this->monitor.may_have_departed());
 }
 
 std::uint32_t companion_flow_core::service_size(time_point now) const
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -148,10 +148,13 @@
         return;
     }
     flow_record& flow = found->second;
-    const bool is_not_held = flow.state == flow_state::absent ||
-                             (flow.state == flow_state::half_open &&
-                              !acknowledges(flow, packet.acknowledged) &&
-                              !this->probe_unanswered_opening(now, flow));
+    const bool is_not_held =
+        flow.state == flow_state::absent ||
+        (flow.state == flow_state::probing && !flow.accepted &&
+         !this->may_hold_unknown_flows(now)) ||
+        (flow.state == flow_state::half_open &&
+         !acknowledges(flow, packet.acknowledged) &&
+         !this->probe_unanswered_opening(now, flow));
     if (is_not_held)
     {
         this->return_packet(now, entry, packet);
@@ -306,6 +309,10 @@
         }
         ++item;
     }
+    if (this->needs_presence_check(now))
+    {
+        this->check_presence(now);
+    }
     this->notify_waiting_entries(now);
     if (now >= this->next_sweep)
     {
@@ -329,12 +336,21 @@
     this->observe(now);
     this->stopping = true;
     this->stopped_at = now;
+    if (!this->monitor.has_departed())
+    {
+        this->check_presence(now);
+    }
     this->send_reports(now);
 }
 
 bool companion_flow_core::may_exit(time_point now) const
 {
-    return this->in_flight == 0 || now - this->stopped_at >= stop_limit;
+    if (this->awaits_presence(now))
+    {
+        return false;
+    }
+    return this->upstream_is_down(now) || this->in_flight == 0 ||
+           now - this->stopped_at >= stop_limit;
 }
 
 void companion_flow_core::observe(time_point now)
@@ -352,6 +368,7 @@
     {
         this->resumed_at = now;
         this->monitor.invalidate_status();
+        this->monitor.forget_absence();
         this->emit(
             now, flow_event_kind::freeze_detected, {}, {},
             result_code::dropped_stale);
--- a/src/flow/companion_flows.cpp
+++ b/src/flow/companion_flows.cpp
@@ -152,6 +152,10 @@
     }
     this->monitor.on_sign_of_life(now);
     flow_record& flow = this->flows[packet.flow];
+    if (this->contradicts_absence(flow, packet))
+    {
+        this->monitor.refute_absence();
+    }
     if (flow.created == time_point{})
     {
         flow.created = now;
@@ -295,21 +299,6 @@
     flow.state = state;
 }
 
-bool companion_flow_core::upstream_is_down(time_point now) const
-{
-    const time_point last_sign =
-        std::max(this->observing_since, this->monitor.last_sign_of_life());
-    return this->monitor.has_departed() ||
-           now - last_sign > this->monitor.overdue_limit();
-}
-
-bool companion_flow_core::may_hold_unknown_flows(time_point now) const
-{
-    const bool knows_all =
-        this->monitor.is_observed_since_start() && now >= this->evicted_until;
-    return !knows_all && !this->upstream_is_down(now);
-}
-
 ownership companion_flow_core::ownership_of(
     time_point now,
     const flow_endpoints& flow,
--- a/src/flow/upstream_monitor.cpp
+++ b/src/flow/upstream_monitor.cpp
@@ -40,12 +40,19 @@
     {
         return status_outcome::outdated;
     }
+    const bool fits_absence =
+        !is_same && this->started_after_absence(status, now);
     if (!is_same)
     {
         this->observed_since_start =
-            this->started_under_observation(status, now);
+            fits_absence || this->started_under_observation(status, now);
         this->unanswered_since.reset();
     }
+    if (this->absent_at && !fits_absence)
+    {
+        this->refute_absence();
+    }
+    this->forget_absence();
     this->newest = status;
     this->status_received_at = now;
     this->sign_of_life_at = now;
@@ -70,6 +77,48 @@
     return this->newest.has_value() && status.sequence <= intervals;
 }
 
+bool upstream_monitor::started_after_absence(
+    const upstream_status& status, time_point now) const
+{
+    if (!this->absent_at)
+    {
+        return false;
+    }
+    // The first status is sent at the start, the others at the interval.
+    const auto intervals = static_cast<std::uint64_t>(
+        (now - *this->absent_at) / this->limits.status_interval);
+    return status.sequence <= intervals + first_sequence;
+}
+
+bool upstream_monitor::on_absent(time_point asked_at)
+{
+    if (!this->check_trusted || this->sign_of_life_at >= asked_at)
+    {
+        return false;
+    }
+    this->absent_at = asked_at;
+    this->absent = true;
+    return true;
+}
+
+void upstream_monitor::on_running()
+{
+    this->absent = false;
+    this->check_trusted = true;
+}
+
+void upstream_monitor::forget_absence()
+{
+    this->absent_at.reset();
+    this->absent = false;
+}
+
+void upstream_monitor::refute_absence()
+{
+    this->forget_absence();
+    this->check_trusted = false;
+}
+
 bool upstream_monitor::on_departure(const upstream_incarnation& incarnation)
 {
     if (this->newest && this->newest->incarnation.id != incarnation.id)
@@ -114,6 +163,7 @@
 void upstream_monitor::on_sign_of_life(time_point now)
 {
     this->sign_of_life_at = now;
+    this->absent = false;
 }
 
 void upstream_monitor::invalidate_status()
--- a/src/node/companion_node.cpp
+++ b/src/node/companion_node.cpp
@@ -51,6 +51,10 @@
           *this,
           this->telemetry),
       upstream_socket(context, max_datagram_size),
+      probe(
+          context,
+          this->role_settings.upstream_address,
+          [this](upstream_presence result) { this->on_presence(result); }),
       registration(
           context,
           store,
@@ -73,6 +77,8 @@
     this->registration.start(serialize_member(
         {this->self(), this->settings.name, this->role_settings.service,
          this->settings.failure_domain, this->settings.packet_address}));
+    // The first tick requests a presence check.
+    this->core.on_tick(node_now());
     return true;
 }
 
@@ -89,15 +95,6 @@
     }
     this->stopping = true;
     this->core.on_stop(node_now());
-    if (this->core.upstream_is_down(node_now()))
-    {
-        asio::co_spawn(
-            this->context, this->deregister_and_exit(), asio::detached);
-        this->exit_timer.expires_after(deregistration_timeout);
-        this->exit_timer.async_wait([this](const boost::system::error_code&)
-                                    { this->context.stop(); });
-        return;
-    }
     this->exit_when_idle();
 }
 
@@ -109,13 +106,26 @@
         {
             if (this->core.may_exit(node_now()))
             {
-                this->context.stop();
+                this->exit();
                 return;
             }
             this->exit_when_idle();
         });
 }
 
+void companion_node::exit()
+{
+    if (!this->core.upstream_is_down(node_now()))
+    {
+        this->context.stop();
+        return;
+    }
+    asio::co_spawn(this->context, this->deregister_and_exit(), asio::detached);
+    this->exit_timer.expires_after(deregistration_timeout);
+    this->exit_timer.async_wait([this](const boost::system::error_code&)
+                                { this->context.stop(); });
+}
+
 asio::awaitable<void> companion_node::deregister_and_exit()
 {
     co_await this->registration.deregister();
@@ -162,6 +172,22 @@
     this->core.on_upstream_packet(node_now(), *packet);
 }
 
+void companion_node::check_presence()
+{
+    this->telemetry.count("presence_checks_total");
+    this->probe.start();
+}
+
+void companion_node::on_presence(upstream_presence result)
+{
+    if (result == upstream_presence::absent)
+    {
+        this->telemetry.count("presence_checks_absent_total");
+    }
+    this->core.on_presence(node_now(), result);
+    this->schedule_tick();
+}
+
 void companion_node::on_control(
     time_point now, instance_id sender, const flow_message& message)
 {
--- a/src/node/companion_node.hpp
+++ b/src/node/companion_node.hpp
@@ -5,6 +5,7 @@
 #include "flow_node.hpp"
 #include "masticslip/flow/companion_flow_core.hpp"
 #include "member_registration.hpp"
+#include "upstream_probe.hpp"
 
 namespace masticslip
 {
@@ -51,14 +52,20 @@
     void send(instance_id to, const flow_message& message) override;
     void fetch_policy(instance_id from) override;
     void on_not_listed() override;
+    void check_presence() override;
 
     void on_upstream_datagram(const endpoint& sender, byte_view datagram);
+    void on_presence(upstream_presence result);
     boost::asio::awaitable<void> deregister_and_exit();
+    /// Exits once the core permits it. Removes the companion's key first if its
+    /// upstream has ended.
     void exit_when_idle();
+    void exit();
 
     companion_node_settings role_settings;
     companion_flow_core core;
     datagram_socket upstream_socket;
+    upstream_probe probe;
     member_registration registration;
     boost::asio::steady_timer exit_timer;
     bool stopping = false;
--- a/standins/flow/virtual_fleet_faults.cpp
+++ b/standins/flow/virtual_fleet_faults.cpp
@@ -71,6 +71,12 @@
     }
     if (process.core->may_exit(this->queue.now()))
     {
+        if (process.core->upstream_is_down(this->queue.now()))
+        {
+            this->registered.erase(process.id);
+            this->keep_copy();
+            this->sync_all_entries();
+        }
         this->kill_companion(index, 0ms);
         return;
     }
--- a/standins/flow/virtual_fleet_network.cpp
+++ b/standins/flow/virtual_fleet_network.cpp
@@ -16,6 +16,8 @@
 /// because others may hold stale state about it (`contact_ms` of the platform's
 /// bounds).
 constexpr std::chrono::milliseconds contact_time{4'000};
+/// Time in which a presence check has its result.
+constexpr std::chrono::milliseconds connect_time{1};
 
 } // namespace
 
@@ -232,6 +234,30 @@
     process.host->on_packet(packet, this->clients.work_of(packet.request));
 }
 
+void virtual_flow_fleet::check_presence(std::size_t index)
+{
+    companion_process& process = *this->companions[index];
+    const upstream_presence result = process.host->is_alive()
+                                         ? upstream_presence::running
+                                         : upstream_presence::absent;
+    const std::uint64_t incarnation_number = process.incarnation_number;
+    this->queue.after(
+        connect_time,
+        [this, &process, result, incarnation_number]
+        {
+            this->run_on(
+                process,
+                [&process, result, incarnation_number](time_point now)
+                {
+                    if (process.core &&
+                        process.incarnation_number == incarnation_number)
+                    {
+                        process.core->on_presence(now, result);
+                    }
+                });
+        });
+}
+
 void virtual_flow_fleet::check_opening(
     std::size_t index, const virtual_packet& packet)
 {
--- a/standins/flow/virtual_flow_fleet.hpp
+++ b/standins/flow/virtual_flow_fleet.hpp
@@ -206,6 +206,8 @@
         std::size_t entry, const endpoint& address, byte_view raw);
     void deliver_to_host(std::size_t index, byte_view raw);
     void deliver_from_host(std::size_t index, const virtual_packet& packet);
+    /// Tells a companion whether its host runs.
+    void check_presence(std::size_t index);
     void check_opening(std::size_t index, const virtual_packet& packet);
     /// Contents of the store.
     struct stored_state
--- a/standins/flow/virtual_processes.hpp
+++ b/standins/flow/virtual_processes.hpp
@@ -102,6 +102,11 @@
     {
     }
 
+    void check_presence() override
+    {
+        this->fleet->check_presence(this->index);
+    }
+
     virtual_flow_fleet* fleet;
     std::string name;
     flow_telemetry events;
--- a/tests/flow/companion_load_test.cpp
+++ b/tests/flow/companion_load_test.cpp
@@ -181,6 +181,8 @@
 {
     const char* name;
     std::chrono::milliseconds stopped_at;
+    /// Result of the presence check that the stop waits for.
+    upstream_presence presence;
     bool has_left;
 };
 
@@ -190,8 +192,9 @@
 }
 
 const std::vector<stop_case> stop_cases{
-    {"its_upstream_is_alive", 1'000ms, false},
-    {"its_upstream_status_is_overdue", 4'000ms, true}};
+    {"its_upstream_is_alive", 1'000ms, upstream_presence::running, false},
+    {"its_upstream_status_is_overdue", 4'000ms, upstream_presence::absent,
+     true}};
 
 BOOST_DATA_TEST_CASE_F(
     companion_fixture,
@@ -206,6 +209,7 @@
         core.on_tick(at(now));
     }
     core.on_stop(at(item.stopped_at));
+    core.on_presence(at(item.stopped_at + 5ms), item.presence);
     const auto reports = messages_of<companion_report>(output.sent);
     BOOST_REQUIRE(!reports.empty());
     BOOST_TEST(reports.back().is_stopping);
--- a/tests/flow/recording_outputs.hpp
+++ b/tests/flow/recording_outputs.hpp
@@ -90,9 +90,15 @@
         ++this->not_listed;
     }
 
+    void check_presence() override
+    {
+        ++this->presence_checks;
+    }
+
     std::size_t to_upstream = 0;
     std::size_t to_caller = 0;
     std::size_t not_listed = 0;
+    std::size_t presence_checks = 0;
     std::vector<flow_endpoints> resets;
     std::vector<sent_message> sent;
     std::vector<instance_id> fetches;
