--- a/include/masticslip/core/configuration.hpp
+++ b/include/masticslip/core/configuration.hpp
@@ -10,6 +10,7 @@
 /// Unknown keys and invalid values are rejected; the error names the key's
 /// path.
 
+#include "masticslip/core/configuration_finding.hpp"
 #include "masticslip/core/failure_reason.hpp"
 #include "masticslip/core/types.hpp"
 
@@ -149,7 +150,22 @@
 /// Maximum document size in bytes: it must fit into one internal datagram.
 constexpr std::size_t max_document_size = std::size_t{48} * 1024;
 
-/// Parses and validates a document of at most `max_size` bytes. Thread-safe.
+/// A document, or the errors for which it is rejected.
+struct configuration_reading
+{
+    /// Set if and only if there are no errors.
+    std::optional<configuration> value;
+    /// At most one for each path and 100 in all. References between entries are
+    /// checked only if each field is valid by itself.
+    std::vector<configuration_finding> errors;
+};
+
+/// Parses and validates a document of at most `max_size` bytes. Only errors
+/// that have no path of their own have a place. Thread-safe.
+configuration_reading read_configuration(
+    std::string_view text, std::size_t max_size = max_document_size);
+
+/// The same; on failure returns nullopt and the first error. Thread-safe.
 std::optional<configuration> parse_configuration(
     std::string_view text,
     failure_reason& reason,
--- a/src/core/json_reader.hpp
+++ b/src/core/json_reader.hpp
@@ -2,7 +2,7 @@
 /// Strict reader for JSON objects: unknown keys are errors, and each error
 /// names the path of the key.
 
-#include "masticslip/core/failure_reason.hpp"
+#include "fault_list.hpp"
 
 #include <boost/json.hpp>
 
@@ -15,22 +15,19 @@
 namespace masticslip::detail
 {
 
-/// Reads the members of one JSON object and collects the first error.
+/// Reads the members of one JSON object and collects the errors.
 class json_reader
 {
 public:
-    /// The value and reason must outlive the reader. An error that `reason`
-    /// already holds is kept.
+    /// The value and the list must outlive the reader.
     json_reader(
-        const boost::json::value& value,
-        std::string path,
-        failure_reason& reason)
-        : path(std::move(path)), reason(reason)
+        const boost::json::value& value, std::string path, fault_list& faults)
+        : path(std::move(path)), faults(faults)
     {
         this->object = value.if_object();
         if (this->object == nullptr)
         {
-            this->fail("", "must be an object");
+            this->fail("", finding_kind::wrong_type, "must be an object");
         }
     }
 
@@ -45,7 +42,7 @@
         const auto* found = this->object->if_contains(key);
         if (found == nullptr && required)
         {
-            this->fail(key, "is missing");
+            this->fail(key, finding_kind::missing_key, "is missing");
         }
         return found;
     }
@@ -60,7 +57,7 @@
         }
         if (!found->is_string())
         {
-            this->fail(key, "must be a string");
+            this->fail(key, finding_kind::wrong_type, "must be a string");
             return {};
         }
         return std::string(found->as_string());
@@ -84,8 +81,9 @@
         if (error || value < low || value > high)
         {
             this->fail(
-                key, "must be a whole number from " + std::to_string(low) +
-                         " to " + std::to_string(high));
+                key, number_fault(*found),
+                "must be a whole number from " + std::to_string(low) + " to " +
+                    std::to_string(high));
             return low;
         }
         return value;
@@ -104,8 +102,9 @@
         if (error || !(value >= low && value <= high))
         {
             this->fail(
-                key, "must be a number from " + std::to_string(low) + " to " +
-                         std::to_string(high));
+                key, number_fault(*found),
+                "must be a number from " + std::to_string(low) + " to " +
+                    std::to_string(high));
             return fallback;
         }
         return value;
@@ -121,7 +120,7 @@
         }
         if (!found->is_array())
         {
-            this->fail(key, "must be an array");
+            this->fail(key, finding_kind::wrong_type, "must be an array");
         }
         return found->if_array();
     }
@@ -137,19 +136,17 @@
         {
             if (!this->requested_keys.contains(std::string(item.key())))
             {
-                this->fail(item.key(), "unknown key");
+                this->fail(
+                    item.key(), finding_kind::unknown_key, "unknown key");
             }
         }
     }
 
-    /// Records an error, unless one was recorded before.
-    void fail(std::string_view key, const std::string& problem)
+    /// Records an error, unless the path has one.
+    void
+    fail(std::string_view key, finding_kind kind, const std::string& problem)
     {
-        if (this->reason.code == result_code::done)
-        {
-            this->reason.code = result_code::config_invalid;
-            this->reason.text = this->path_of(key) + ": " + problem;
-        }
+        this->faults.add(kind, this->path_of(key), problem);
     }
 
     /// Path of a member for error messages, such as `$.services[0].name`.
@@ -159,9 +156,15 @@
     }
 
 private:
+    static finding_kind number_fault(const boost::json::value& value)
+    {
+        return value.is_number() ? finding_kind::out_of_range
+                                 : finding_kind::wrong_type;
+    }
+
     const boost::json::object* object = nullptr;
     std::string path;
-    failure_reason& reason;
+    fault_list& faults;
     std::set<std::string> requested_keys;
 };
 
