Decide in one place whether a flow without a known owner is lost

Cause: the rule that ends such flows was spread over the lookup (payload, owner state, list, answers), so that each gap of evidence was fixed on its own, and an event did not say why a flow was not reset. Change: loss_evidence, loss_verdict and judge_flow_loss in flow_loss.hpp; the lookup only collects the evidence. The event detail of a lookup has the reason in the field kept=. No flow is judged otherwise than before.

--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -19,6 +19,7 @@
 
 #include "masticslip/flow/companion_directory.hpp"
 #include "masticslip/flow/flow_event.hpp"
+#include "masticslip/flow/flow_loss.hpp"
 #include "masticslip/flow/flow_placement.hpp"
 #include "masticslip/flow/peer_contact.hpp"
 #include "masticslip/flow/policy_succession.hpp"
@@ -175,17 +176,6 @@
         result_code last_refusal = result_code::not_run_no_upstream;
     };
 
-    /// What is known of the owner of a flow that is looked up. A later value
-    /// prevails over an earlier one.
-    enum class owner_state : std::uint8_t
-    {
-        unknown,
-        /// The owner has reported its departure.
-        departed,
-        /// There is an owner that cannot be queried.
-        unreachable
-    };
-
     /// A lookup of the owner of a flow.
     struct owner_lookup
     {
@@ -264,14 +254,13 @@
         const flow_packet& packet,
         std::optional<instance_id> except,
         owner_state owner = owner_state::unknown);
-    /// True if a companion that is present was not queried. It may have become
+    /// Number of present companions that were not queried. They may have become
     /// known during the lookup.
-    [[nodiscard]] bool has_unqueried(
+    [[nodiscard]] std::size_t count_unqueried(
         time_point now,
         const flow_endpoints& flow,
         const owner_lookup& item) const;
-    /// True if the lookup has shown that no upstream holds the flow.
-    [[nodiscard]] bool is_held_by_none(
+    [[nodiscard]] loss_evidence evidence_of(
         time_point now,
         const flow_endpoints& flow,
         const owner_lookup& item) const;
@@ -302,7 +291,8 @@
     [[nodiscard]] std::string describe_lookup(
         time_point now,
         const flow_endpoints& flow,
-        const owner_lookup& item) const;
+        const owner_lookup& item,
+        loss_verdict verdict) const;
     void assign_owner(
         time_point now,
         const flow_endpoints& flow,
@@ -335,11 +325,11 @@
     void update_stated_sizes(time_point now);
     /// Number of companions of a service for hellos; zero if not known.
     [[nodiscard]] std::uint32_t stated_size(service_id service) const;
-    /// True if the entry has read the store's list, all companions of the
-    /// service that it knows have reported, and there can be no others: it
-    /// knows as many as entries state, or the list is whole. Otherwise a
-    /// companion that the entry does not know may hold a flow that all others
-    /// do not hold.
+    /// True if all companions of the service that the entry knows have
+    /// reported, and there can be no others: it knows as many as entries state,
+    /// or the list is whole. Otherwise a companion that the entry does not know
+    /// may hold a flow that all others do not hold.
+    /// Precondition: the store's list was read.
     [[nodiscard]] bool
     knows_all_companions(time_point now, service_id service) const;
     void expire_openings(time_point now);
--- a/src/flow/entry_lookups.cpp
+++ b/src/flow/entry_lookups.cpp
@@ -6,7 +6,6 @@
 #include "masticslip/flow/detail/sequence_window.hpp"
 
 #include <algorithm>
-#include <array>
 
 namespace masticslip
 {
@@ -33,10 +32,6 @@
 /// Maximum number of concurrent lookups, which hold packets.
 constexpr std::size_t max_lookups = 2'000;
 
-/// In the order of owner_state.
-constexpr std::array<std::string_view, 3> owner_state_names{
-    "unknown", "departed", "unreachable"};
-
 void remove(std::vector<instance_id>& ids, instance_id id)
 {
     ids.erase(std::remove(ids.begin(), ids.end(), id), ids.end());
@@ -223,7 +218,7 @@
     // Companions with hints are not waited for beyond the first timeout.
     const bool is_hint_round = item.rounds == 1;
     if ((item.pending.empty() || is_hint_round) &&
-        this->has_unqueried(now, flow, item))
+        this->count_unqueried(now, flow, item) != 0)
     {
         item.pending.clear();
         this->query_companions(now, flow, item);
@@ -243,8 +238,9 @@
     {
         return;
     }
-    const bool resets_caller =
-        item.has_payload && this->is_held_by_none(now, flow, item);
+    const loss_verdict verdict =
+        judge_flow_loss(this->evidence_of(now, flow, item));
+    const bool resets_caller = verdict == loss_verdict::reset;
     this->emit(
         now,
         resets_caller ? flow_event_kind::flow_reset
@@ -252,7 +248,7 @@
         flow, item.pending.empty() ? instance_id{} : item.pending.front(),
         result_code::unknown_flow_lost,
         static_cast<std::uint32_t>(item.absent.size() + item.pending.size()), 0,
-        now - item.started, this->describe_lookup(now, flow, item));
+        now - item.started, this->describe_lookup(now, flow, item, verdict));
     if (resets_caller)
     {
         this->output.reset_caller(flow, item.acknowledged);
@@ -279,9 +275,11 @@
 bool entry_flow_core::query_former_services(
     time_point now, const flow_endpoints& flow, owner_lookup& item)
 {
-    const bool is_required = item.has_payload && !item.covers_former_services &&
-                             item.owner_status == owner_state::unknown &&
-                             this->is_held_by_none(now, flow, item);
+    const bool is_required =
+        !item.covers_former_services &&
+        item.owner_status == owner_state::unknown &&
+        judge_flow_loss(this->evidence_of(now, flow, item)) ==
+            loss_verdict::reset;
     if (!is_required)
     {
         return false;
@@ -292,7 +290,7 @@
     return !item.pending.empty();
 }
 
-bool entry_flow_core::has_unqueried(
+std::size_t entry_flow_core::count_unqueried(
     time_point now, const flow_endpoints& flow, const owner_lookup& item) const
 {
     const auto is_unqueried = [this, now, &item](instance_id id)
@@ -302,40 +300,42 @@
                                 contains(item.pending, id);
         return !is_queried && counts_as_present(now, *this->directory.find(id));
     };
-    const std::vector<service_id> services = this->services_of(flow, item);
-    return std::any_of(
-        services.begin(), services.end(),
-        [this, &is_unqueried](service_id service)
-        {
-            const auto& ids = this->directory.of_service(service);
-            return std::any_of(ids.begin(), ids.end(), is_unqueried);
-        });
+    std::size_t result = 0;
+    for (const service_id service : this->services_of(flow, item))
+    {
+        const auto& ids = this->directory.of_service(service);
+        result += static_cast<std::size_t>(
+            std::count_if(ids.begin(), ids.end(), is_unqueried));
+    }
+    return result;
 }
 
-bool entry_flow_core::is_held_by_none(
+loss_evidence entry_flow_core::evidence_of(
     time_point now, const flow_endpoints& flow, const owner_lookup& item) const
 {
-    switch (item.owner_status)
-    {
-    case owner_state::departed:
-        return item.pending.empty();
-    case owner_state::unreachable:
-        return false;
-    case owner_state::unknown:
-        break;
-    }
     const std::vector<service_id> services = this->services_of(flow, item);
-    // Silence of a companion is no evidence that its upstream has lost a flow.
-    return item.pending.empty() && item.uncertain.empty() &&
-           !item.absent.empty() && !this->has_unqueried(now, flow, item) &&
-           std::all_of(
-               services.begin(), services.end(),
-               [this, now](service_id service)
-               { return this->knows_all_companions(now, service); });
+    loss_evidence result;
+    result.owner = item.owner_status;
+    result.is_list_read = this->list_read_at.has_value();
+    result.are_all_known =
+        result.is_list_read &&
+        std::all_of(
+            services.begin(), services.end(),
+            [this, now](service_id service)
+            { return this->knows_all_companions(now, service); });
+    result.has_payload = item.has_payload;
+    result.absent = item.absent.size();
+    result.unasked = this->count_unqueried(now, flow, item);
+    result.unanswered = item.pending.size();
+    result.uncertain = item.uncertain.size();
+    return result;
 }
 
 std::string entry_flow_core::describe_lookup(
-    time_point now, const flow_endpoints& flow, const owner_lookup& item) const
+    time_point now,
+    const flow_endpoints& flow,
+    const owner_lookup& item,
+    loss_verdict verdict) const
 {
     std::size_t known = 0;
     std::size_t left = 0;
@@ -365,9 +365,9 @@
            " reported=" + std::to_string(reported) +
            " absent=" + std::to_string(item.absent.size()) +
            " uncertain=" + std::to_string(item.uncertain.size()) +
-           " unanswered=" + std::to_string(item.pending.size()) + " owner=" +
-           std::string(owner_state_names.at(
-               static_cast<std::size_t>(item.owner_status))) +
+           " unanswered=" + std::to_string(item.pending.size()) +
+           " owner=" + std::string(to_string(item.owner_status)) +
+           " kept=" + std::string(to_string(verdict)) +
            " settled=" + std::to_string(this->is_settled(now)) +
            " policy_known_ms=" + std::to_string(policy_age.count());
 }
--- a/src/flow/entry_members.cpp
+++ b/src/flow/entry_members.cpp
@@ -270,7 +270,7 @@
     const bool is_list_whole =
         reported == 0 ? are_registrations_kept || this->is_settled(now)
                       : known >= reported;
-    return this->list_read_at && is_list_whole;
+    return is_list_whole;
 }
 
 void entry_flow_core::send_hello_to_all(time_point now)
