Ignore reports that were sent before an accepted one

Cause: reports had no order, so that a late datagram of a former process, or of a departure before a return, counted: flows of the present companion were reset. Hellos state the newest order, for companions whose clock was set back. Tests: the two open cases now set the orders that real processes set, and one also checks where the packet goes; new cases for a removed companion, equal orders, contact and hellos.

--- a/include/masticslip/flow/companion_directory.hpp
+++ b/include/masticslip/flow/companion_directory.hpp
@@ -46,6 +46,8 @@
     /// It has reported such a number since it became known or has returned:
     /// entries count it.
     bool is_counted = false;
+    /// Order of the newest report that was accepted from its address.
+    report_order newest_report;
     /// Its registration was not lost recently, according to its last report.
     bool is_registration_continuous = false;
     /// Opening packets not answered in time since the newest load.
@@ -76,9 +78,15 @@
     void on_unlisted(instance_id id);
 
     /// A companion sent a report. Returns true if it was unknown.
+    /// Precondition: the report is not outdated.
     bool
     on_report(time_point now, instance_id id, const companion_report& report);
 
+    /// Order of the newest report that was accepted from the address; zero if
+    /// there is none. A report with a lower order is outdated: it was sent
+    /// before one that was accepted, perhaps by a former process.
+    [[nodiscard]] report_order newest_report(instance_id id) const;
+
     /// A message was sent that the companion answers immediately.
     void on_request_sent(time_point now, instance_id id);
 
@@ -111,24 +119,31 @@
         return this->members.size();
     }
 
-    /// Removes a companion. One that is gone stays known as such until it is
-    /// seen again or forget_gone() is called.
+    /// Removes a companion. Whether it is gone and the order of its reports
+    /// stay known until it is seen again or forget_removed() is called.
     void erase(time_point now, instance_id id);
 
     /// True if the companion is gone, or was when it was removed.
     [[nodiscard]] bool is_gone(instance_id id) const;
 
-    /// Forgets gone companions that were removed before `limit`.
-    void forget_gone(time_point limit);
+    /// Forgets companions that were removed before `limit`.
+    void forget_removed(time_point limit);
 
 private:
+    /// What stays known of a removed companion.
+    struct removed_member
+    {
+        time_point removed_at;
+        bool is_gone = false;
+        report_order newest_report;
+    };
+
     directory_member&
     find_or_add(time_point now, const companion_record& record, bool& is_new);
 
     std::map<instance_id, directory_member> members;
     std::unordered_map<service_id, std::vector<instance_id>> by_service;
-    /// Removed companions that are gone, with the time of their removal.
-    std::map<instance_id, time_point> gone;
+    std::map<instance_id, removed_member> removed;
 };
 
 } // namespace masticslip
--- a/src/flow/companion_directory.cpp
+++ b/src/flow/companion_directory.cpp
@@ -17,8 +17,9 @@
     }
     // The companion at this address may now serve a different service.
     this->erase(now, record.id);
-    this->gone.erase(record.id);
     directory_member& created = this->members[record.id];
+    created.newest_report = this->removed[record.id].newest_report;
+    this->removed.erase(record.id);
     created.service = service;
     created.known_since = now;
     auto& ids = this->by_service[service];
@@ -63,6 +64,7 @@
         report.packet_address};
     directory_member& target = this->find_or_add(now, record, is_new);
     target.record = record;
+    target.newest_report = report.order;
     target.is_stopping = report.is_stopping;
     target.has_left = report.has_left;
     target.reported_service_size = report.service_size;
@@ -128,13 +130,31 @@
 bool companion_directory::is_gone(instance_id id) const
 {
     const directory_member* target = this->find(id);
-    return target == nullptr ? this->gone.contains(id) : target->is_gone();
+    if (target != nullptr)
+    {
+        return target->is_gone();
+    }
+    const auto former = this->removed.find(id);
+    return former != this->removed.end() && former->second.is_gone;
+}
+
+report_order companion_directory::newest_report(instance_id id) const
+{
+    const directory_member* target = this->find(id);
+    if (target != nullptr)
+    {
+        return target->newest_report;
+    }
+    const auto former = this->removed.find(id);
+    return former == this->removed.end() ? report_order{}
+                                         : former->second.newest_report;
 }
 
-void companion_directory::forget_gone(time_point limit)
+void companion_directory::forget_removed(time_point limit)
 {
     std::erase_if(
-        this->gone, [limit](const auto& item) { return item.second < limit; });
+        this->removed,
+        [limit](const auto& item) { return item.second.removed_at < limit; });
 }
 
 void companion_directory::erase(time_point now, instance_id id)
@@ -144,10 +164,8 @@
     {
         return;
     }
-    if (found->second.is_gone())
-    {
-        this->gone[id] = now;
-    }
+    this->removed[id] = {
+        now, found->second.is_gone(), found->second.newest_report};
     auto& ids = this->by_service[found->second.service];
     ids.erase(std::remove(ids.begin(), ids.end(), id), ids.end());
     this->members.erase(found);
--- a/src/flow/entry_members.cpp
+++ b/src/flow/entry_members.cpp
@@ -127,6 +127,11 @@
 void entry_flow_core::on_report(
     time_point now, instance_id sender, const companion_report& message)
 {
+    if (message.order < this->directory.newest_report(sender))
+    {
+        // Late: what it says was true before an accepted report was sent.
+        return;
+    }
     const directory_member* known = this->directory.find(sender);
     const bool was_silent = known != nullptr && known->is_silent;
     const bool had_left = known != nullptr && known->has_left;
@@ -165,14 +170,18 @@
     this->contact.on_request_sent(now);
     this->directory.on_request_sent(now, member.record.id);
     this->output.send(
-        member.record.id, entry_hello{
-                              this->current_policy().mark(), member.is_listed,
-                              this->stated_size(member.service)});
+        member.record.id,
+        entry_hello{
+            this->current_policy().mark(), member.is_listed,
+            this->stated_size(member.service), member.newest_report});
 }
 
 void entry_flow_core::send_first_hello(instance_id id)
 {
-    this->output.send(id, entry_hello{this->current_policy().mark(), true, 0});
+    this->output.send(
+        id, entry_hello{
+                this->current_policy().mark(), true, 0,
+                this->directory.newest_report(id)});
 }
 
 void entry_flow_core::send_due_hellos(time_point now)
@@ -299,7 +308,7 @@
             now, flow_event_kind::member_left, {}, id, result_code::done);
         this->directory.erase(now, id);
     }
-    this->directory.forget_gone(now - this->settings.flow_age_limit);
+    this->directory.forget_removed(now - this->settings.flow_age_limit);
 }
 
 } // namespace masticslip
--- a/tests/flow/entry_fixture.hpp
+++ b/tests/flow/entry_fixture.hpp
@@ -45,6 +45,24 @@
     return report;
 }
 
+/// The report with this order.
+inline companion_report
+with_order(companion_report report, std::uint64_t process, std::uint64_t number)
+{
+    report.order = {process, number};
+    return report;
+}
+
+/// The report of a companion that stops after its upstream has departed.
+inline companion_report
+gone_report(std::uint16_t number, std::uint32_t size = 0)
+{
+    companion_report report = sized_report(number, size);
+    report.has_left = true;
+    report.is_stopping = true;
+    return report;
+}
+
 /// A report of a companion that accepts new flows of this service.
 inline companion_report
 report_of_service(std::uint16_t number, const std::string& service)
--- /dev/null
+++ b/tests/flow/entry_late_message_test.cpp
@@ -0,0 +1,111 @@
+// Late messages of former processes and flows must not count as evidence about
+// the present ones.
+
+#include "entry_fixture.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace masticslip;
+using namespace masticslip::test;
+
+BOOST_AUTO_TEST_SUITE(entry_evidence)
+
+// One datagram of an earlier process at the address of companion 1 is late.
+BOOST_FIXTURE_TEST_CASE(
+    a_late_report_of_a_former_companion_does_not_end_the_flows_of_the_new_one,
+    entry_fixture)
+{
+    make_ready(2);
+    const companion_report late = with_order(gone_report(1, 2), 1, 9);
+    core.on_message(at(0ms), companion(1), late);
+    core.on_message(
+        at(1'000ms), companion(1), with_order(sized_report(1, 2), 2, 1));
+    core.on_message(at(1'000ms), companion(2), sized_report(2, 2));
+    core.on_message(
+        at(1'100ms), companion(1), flow_opened{test_flow(1), 1, {}});
+    core.on_message(at(1'200ms), companion(1), late);
+    core.on_caller_packet(at(1'201ms), data_packet(test_flow(1), 1'001, 2));
+    answer_absent(1'202ms, {2}, test_flow(1));
+    BOOST_TEST(output.resets.empty());
+    BOOST_REQUIRE(output.packets.size() == 1U);
+    BOOST_TEST(
+        to_string(output.packets[0]) == to_string(companion_packet_address(1)));
+}
+
+// The same without a stop: the upstream has left and returned. Companion 2 was
+// greeted while it was away.
+BOOST_FIXTURE_TEST_CASE(
+    a_late_report_of_a_departure_does_not_hide_a_companion_that_has_returned,
+    entry_fixture)
+{
+    make_ready(2);
+    companion_report left = with_order(ready_report(1), 1, 8);
+    left.has_left = true;
+    core.on_message(at(0ms), companion(1), left);
+    core.on_message(at(500ms), companion(2), sized_report(2, 1));
+    core.on_message(
+        at(600ms), companion(1), with_order(sized_report(1, 2), 1, 9));
+    core.on_message(at(650ms), companion(1), left);
+    core.on_caller_packet(at(651ms), data_packet(test_flow(1), 1'001, 2));
+    answer_absent(652ms, {2}, test_flow(1));
+    BOOST_TEST(output.resets.empty());
+}
+
+// Guard: a companion that was removed does not become known again by one of its
+// late reports, and its newest order is kept.
+BOOST_FIXTURE_TEST_CASE(
+    a_late_report_does_not_bring_back_a_companion_that_was_removed,
+    entry_fixture)
+{
+    make_ready(2);
+    const companion_report late = with_order(ready_report(1), 1, 8);
+    core.on_message(at(1ms), companion(1), late);
+    core.on_message(at(2ms), companion(1), with_order(gone_report(1), 1, 9));
+    core.on_unlisted(at(3ms), companion(1));
+    report_from({2}, 250ms, 10'000ms);
+    BOOST_REQUIRE(core.companions().find(companion(1)) == nullptr);
+    core.on_message(at(10'001ms), companion(1), late);
+    BOOST_TEST((core.companions().find(companion(1)) == nullptr));
+    const report_order newest = core.companions().newest_report(companion(1));
+    BOOST_TEST(newest.number == 9U);
+
+    core.on_message(
+        at(10'002ms), companion(1), with_order(ready_report(1), 2, 1));
+    BOOST_TEST((core.companions().find(companion(1)) != nullptr));
+}
+
+// A repeated report says nothing that is out of date.
+BOOST_FIXTURE_TEST_CASE(a_report_of_equal_order_is_accepted, entry_fixture)
+{
+    make_ready(2);
+    core.on_message(at(1ms), companion(1), with_order(gone_report(1), 1, 9));
+    core.on_message(at(2ms), companion(1), with_order(ready_report(1), 1, 9));
+    BOOST_TEST(!core.companions().find(companion(1))->has_left);
+}
+
+// Guard: without an answer to any request an entry counts as isolated.
+BOOST_FIXTURE_TEST_CASE(a_late_report_is_a_sign_of_contact, entry_fixture)
+{
+    make_ready(1);
+    core.on_message(at(0ms), companion(1), with_order(ready_report(1), 2, 1));
+    core.on_tick(at(250ms));
+    BOOST_REQUIRE(!core.is_ready(at(700ms)));
+    core.on_message(at(700ms), companion(1), with_order(ready_report(1), 1, 9));
+    BOOST_TEST(core.is_ready(at(700ms)));
+}
+
+// A companion whose clock was set back would be ignored otherwise.
+BOOST_FIXTURE_TEST_CASE(
+    a_hello_tells_a_companion_the_newest_order_of_its_address, entry_fixture)
+{
+    make_ready(1);
+    core.on_message(at(0ms), companion(1), with_order(ready_report(1), 5, 7));
+    core.on_message(at(1ms), companion(1), with_order(ready_report(1), 4, 9));
+    core.on_tick(at(250ms));
+    const auto hellos = messages_of<entry_hello>(output.sent);
+    BOOST_REQUIRE(!hellos.empty());
+    BOOST_TEST(hellos.back().newest_report.process == 5U);
+    BOOST_TEST(hellos.back().newest_report.number == 7U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/flow/entry_open_evidence_test.cpp
+++ b/tests/flow/entry_open_evidence_test.cpp
@@ -10,54 +10,6 @@
 
 BOOST_AUTO_TEST_SUITE(entry_open_evidence)
 
-namespace
-{
-
-companion_report gone_report(std::uint16_t number, std::uint32_t size = 0)
-{
-    companion_report report = sized_report(number, size);
-    report.has_left = true;
-    report.is_stopping = true;
-    return report;
-}
-
-} // namespace
-
-// One datagram of an earlier process at the address of companion 1 is late.
-BOOST_FIXTURE_TEST_CASE(
-    a_late_report_of_a_former_companion_does_not_end_the_flows_of_the_new_one,
-    entry_fixture)
-{
-    make_ready(2);
-    core.on_message(at(0ms), companion(1), gone_report(1, 2));
-    core.on_message(at(1'000ms), companion(1), sized_report(1, 2));
-    core.on_message(at(1'000ms), companion(2), sized_report(2, 2));
-    core.on_message(
-        at(1'100ms), companion(1), flow_opened{test_flow(1), 1, {}});
-    core.on_message(at(1'200ms), companion(1), gone_report(1, 2));
-    core.on_caller_packet(at(1'201ms), data_packet(test_flow(1), 1'001, 2));
-    answer_absent(1'202ms, {2}, test_flow(1));
-    BOOST_TEST(output.resets.empty());
-}
-
-// The same without a stop: the upstream has left and returned. Companion 2 was
-// greeted while it was away.
-BOOST_FIXTURE_TEST_CASE(
-    a_late_report_of_a_departure_does_not_hide_a_companion_that_has_returned,
-    entry_fixture)
-{
-    make_ready(2);
-    companion_report left = ready_report(1);
-    left.has_left = true;
-    core.on_message(at(0ms), companion(1), left);
-    core.on_message(at(500ms), companion(2), sized_report(2, 1));
-    core.on_message(at(600ms), companion(1), sized_report(1, 2));
-    core.on_message(at(650ms), companion(1), left);
-    core.on_caller_packet(at(651ms), data_packet(test_flow(1), 1'001, 2));
-    answer_absent(652ms, {2}, test_flow(1));
-    BOOST_TEST(output.resets.empty());
-}
-
 // Companions 1 and 2 accepted copies of the opening, and the caller continued
 // with companion 2, which this entry does not know yet. Others state three.
 BOOST_FIXTURE_TEST_CASE(
