Count an answer only for the flow that its query was about

Cause: an answer did not name the flow's sequence numbers, so that a late one for a former flow of the port counted for the present one, which was reset. Change: an answer counts in a lookup only if the number that it repeats is within the window of the lookup's. One that was not asked for (zero) does not count in a lookup, which asks its sender anyway; it confirms only the companion to which the flow's packets go. No query has the number zero.

--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -304,6 +304,9 @@
     on_refused(time_point now, instance_id sender, const flow_refused& message);
     void
     on_answer(time_point now, instance_id sender, const owner_answer& message);
+    /// A companion says that its upstream holds a flow. That counts without a
+    /// lookup if the flow's packets go there.
+    void confirm_owner(instance_id sender, const owner_answer& message);
     void on_report(
         time_point now, instance_id sender, const companion_report& message);
     void send_hello(time_point now, directory_member& member);
--- a/src/flow/entry_lookups.cpp
+++ b/src/flow/entry_lookups.cpp
@@ -117,7 +117,9 @@
             this->add_pending(now, service, flow, width, item);
         }
     }
-    const owner_query query{flow, item.acknowledged};
+    // An answer that repeats zero counts as one that was not asked for. One
+    // beside it is within the same windows.
+    const owner_query query{flow, std::max(item.acknowledged, 1U)};
     for (const instance_id id : item.pending)
     {
         this->directory.on_request_sent(now, id);
@@ -165,15 +167,18 @@
 void entry_flow_core::on_answer(
     time_point now, instance_id sender, const owner_answer& message)
 {
-    const auto known = this->flows.find(message.flow);
-    if (known != this->flows.end() && known->second.companion == sender &&
-        message.answer == ownership::owned)
+    if (message.answer == ownership::owned)
     {
-        known->second.confirmed = true;
-        known->second.is_probe = false;
+        this->confirm_owner(sender, message);
     }
     const auto found = this->lookups.find(message.flow);
-    if (found == this->lookups.end())
+    // An answer that was not asked for names no sequence number: a late one may
+    // be about a former flow of the port. The lookup asks its sender anyway.
+    const bool is_answer_to_lookup =
+        found != this->lookups.end() && message.acknowledged != 0 &&
+        detail::is_within_window(
+            found->second.acknowledged, message.acknowledged);
+    if (!is_answer_to_lookup)
     {
         return;
     }
@@ -212,6 +217,18 @@
     }
 }
 
+void entry_flow_core::confirm_owner(
+    instance_id sender, const owner_answer& message)
+{
+    const auto found = this->flows.find(message.flow);
+    if (found == this->flows.end() || found->second.companion != sender)
+    {
+        return;
+    }
+    found->second.confirmed = true;
+    found->second.is_probe = false;
+}
+
 void entry_flow_core::finish_lookup(time_point now, const flow_endpoints& flow)
 {
     owner_lookup& item = this->lookups[flow];
--- a/tests/flow/entry_late_message_test.cpp
+++ b/tests/flow/entry_late_message_test.cpp
@@ -108,4 +108,63 @@
     BOOST_TEST(hellos.back().newest_report.number == 7U);
 }
 
+// The answer to a query for a former flow of the same port is late. The present
+// flow was opened at companion 1 through another entry.
+BOOST_FIXTURE_TEST_CASE(
+    a_late_answer_for_a_former_flow_does_not_count_for_the_present_one,
+    entry_fixture)
+{
+    make_ready(2);
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'001, 2));
+    answer_absent(2ms, {2}, test_flow(1));
+    core.on_tick(at(40ms));
+    core.on_tick(at(200ms));
+    core.on_caller_packet(
+        at(1'000ms), data_packet(test_flow(1), 900'001, 800'002));
+    answer_absent(1'001ms, {1, 2}, test_flow(1));
+    core.on_message(
+        at(1'002ms), companion(1),
+        answer_to(test_flow(1), ownership::owned, {}, 800'002));
+    BOOST_TEST(output.resets.empty());
+    BOOST_TEST(output.packets.size() == 1U);
+}
+
+// The same with an answer that companion 2 sent on its own, without a number.
+BOOST_FIXTURE_TEST_CASE(
+    an_answer_that_was_not_asked_for_does_not_end_a_lookup, entry_fixture)
+{
+    make_ready(2);
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'001, 2));
+    core.on_message(
+        at(2ms), companion(2), owner_answer{test_flow(1), ownership::owned});
+    BOOST_TEST(output.packets.empty());
+    for (const std::uint16_t i : {1, 2})
+    {
+        core.on_message(
+            at(3ms), companion(i),
+            owner_answer{test_flow(1), ownership::absent});
+    }
+    BOOST_TEST(output.resets.empty());
+
+    core.on_message(
+        at(4ms), companion(1), answer_to(test_flow(1), ownership::owned));
+    BOOST_REQUIRE(output.packets.size() == 1U);
+    BOOST_TEST(
+        to_string(output.packets[0]) == to_string(companion_packet_address(1)));
+}
+
+// Guard: zero marks answers that were not asked for, so no query has it.
+BOOST_FIXTURE_TEST_CASE(
+    a_flow_whose_caller_acknowledges_zero_is_found, entry_fixture)
+{
+    make_ready(1);
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'001, 0));
+    const auto queries = messages_of<owner_query>(output.sent);
+    BOOST_REQUIRE(queries.size() == 1U);
+    core.on_message(
+        at(2ms), companion(1),
+        answer_to(test_flow(1), ownership::owned, {}, queries[0].acknowledged));
+    BOOST_TEST(output.packets.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
