Take a departed companion for the owner only on its own word

Cause: any confirmed record of a flow counted as evidence once its companion had departed, also one from a hint, or from an opening of which the caller used another copy. Such flows were reset though a companion that the entry did not know held them. Change: a departed owner is evidence if flow_opened or an answer `owned` came from itself, and if the caller acknowledges a number within the window of the upstream's first one. That number follows the caller's acknowledgements, so that flows with long answers keep their evidence. A lookup for a departed owner tries no upstream that cannot tell.

--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -151,11 +151,17 @@
         instance_id companion;
         /// The owner is known, from flow_opened, an owner_answer or a hint.
         bool confirmed = false;
+        /// The owner itself said so, with flow_opened or owner_answer. A hint
+        /// is no evidence: it may be about a former flow of the port.
+        bool is_evident = false;
         /// The companion is probing whether its upstream holds the flow.
         bool is_probe = false;
         /// The highest-ranked companions were sent a hint with the owner.
         bool hint_sent = false;
         bool closing = false;
+        /// Newest number of the owner's upstream that is known: the first one,
+        /// then those that the caller acknowledges within the window of it.
+        std::uint32_t acknowledged = 0;
         time_point known_since;
         time_point last_packet;
     };
@@ -300,6 +306,10 @@
         bool is_confirmed);
     void
     on_opened(time_point now, instance_id sender, const flow_opened& message);
+    /// Call after on_opened(). The first sequence number tells the flow from
+    /// others that the caller opens with copies of the opening or later from
+    /// the same port.
+    void record_sequence(instance_id sender, const flow_opened& message);
     void
     on_refused(time_point now, instance_id sender, const flow_refused& message);
     void
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -1,6 +1,7 @@
 #include "masticslip/flow/entry_flow_core.hpp"
 
 #include "masticslip/core/rendezvous.hpp"
+#include "masticslip/flow/detail/sequence_window.hpp"
 
 #include <algorithm>
 
@@ -177,6 +178,10 @@
         return;
     }
     flow.last_packet = now;
+    if (detail::is_within_window(flow.acknowledged, packet.acknowledged))
+    {
+        flow.acknowledged = packet.acknowledged;
+    }
     flow.closing = flow.closing || packet.flags.closes || packet.flags.resets;
     this->output.send_packet(member->record.packet_address, packet.raw);
 }
@@ -187,16 +192,20 @@
     this->flows.erase(packet.flow);
     std::optional<instance_id> except;
     owner_state owner = owner_state::unknown;
-    // Without a confirmation the record may be wrong: a late copy of the
-    // opening may have been placed after the caller had opened the flow at
-    // another companion.
-    if (record.confirmed && this->directory.is_gone(record.companion))
+    // Two upstreams may have accepted copies of the opening: the caller
+    // acknowledges the numbers of the one with which it has continued.
+    const bool is_owner =
+        record.is_evident &&
+        detail::is_within_window(record.acknowledged, packet.acknowledged);
+    const bool is_gone = this->directory.is_gone(record.companion);
+    if (is_owner && is_gone)
     {
         except = record.companion;
         owner = owner_state::departed;
     }
     else if (
-        record.confirmed && this->directory.find(record.companion) == nullptr)
+        record.confirmed && !is_gone &&
+        this->directory.find(record.companion) == nullptr)
     {
         owner = owner_state::unreachable;
     }
@@ -255,6 +264,7 @@
     else if (const auto* opened = std::get_if<flow_opened>(&message))
     {
         this->on_opened(now, sender, *opened);
+        this->record_sequence(sender, *opened);
     }
     else if (const auto* refused = std::get_if<flow_refused>(&message))
     {
--- a/src/flow/entry_lookups.cpp
+++ b/src/flow/entry_lookups.cpp
@@ -186,6 +186,7 @@
     if (message.answer == ownership::owned)
     {
         this->assign_owner(now, message.flow, sender, true);
+        this->flows[message.flow].is_evident = true;
         return;
     }
     const bool has_hint = message.owner.value != 0 &&
@@ -221,12 +222,29 @@
     instance_id sender, const owner_answer& message)
 {
     const auto found = this->flows.find(message.flow);
-    if (found == this->flows.end() || found->second.companion != sender)
+    const bool is_known =
+        found != this->flows.end() && found->second.companion == sender;
+    const bool is_about_flow =
+        is_known && (message.acknowledged == 0 ||
+                     detail::is_within_window(
+                         found->second.acknowledged, message.acknowledged));
+    if (is_about_flow)
+    {
+        found->second.confirmed = true;
+        found->second.is_evident = true;
+        found->second.is_probe = false;
+    }
+}
+
+void entry_flow_core::record_sequence(
+    instance_id sender, const flow_opened& message)
+{
+    const auto found = this->flows.find(message.flow);
+    if (found != this->flows.end() && found->second.companion == sender)
     {
-        return;
+        found->second.is_evident = true;
+        found->second.acknowledged = message.upstream_sequence;
     }
-    found->second.confirmed = true;
-    found->second.is_probe = false;
 }
 
 void entry_flow_core::finish_lookup(time_point now, const flow_endpoints& flow)
@@ -277,6 +295,11 @@
 entry_flow_core::possible_owners(const owner_lookup& item) const
 {
     std::vector<instance_id> result;
+    if (item.owner_status == owner_state::departed)
+    {
+        // Packets of a flow whose owner was known are not tried elsewhere.
+        return result;
+    }
     for (const instance_id id : item.uncertain)
     {
         const directory_member* member = this->directory.find(id);
@@ -408,6 +431,7 @@
     record.companion = owner;
     record.confirmed = is_confirmed;
     record.is_probe = !is_confirmed;
+    record.acknowledged = item.acknowledged;
     record.known_since = now;
     record.last_packet = now;
     this->emit(
