--- a/src/flow/entry_lookups.cpp
+++ b/src/flow/entry_lookups.cpp
@@ -6,7 +6,6 @@
 #include "masticslip/flow/detail/sequence_window.hpp"
 
 #include <algorithm>
-#include <array>
 
 namespace masticslip
 {
@@ -33,10 +32,6 @@
 /// Maximum number of concurrent lookups, which hold packets.
 constexpr std::size_t max_lookups = 2'000;
 
-/// In the order of owner_state.
-constexpr std::array<std::string_view, 3> owner_state_names{
-    "unknown", "departed", "unreachable"};
-
 void remove(std::vector<instance_id>& ids, instance_id id)
 {
     ids.erase(std::remove(ids.begin(), ids.end(), id), ids.end());
@@ -122,7 +117,9 @@
             this->add_pending(now, service, flow, width, item);
         }
     }
-    const owner_query query{flow, item.acknowledged};
+    // An answer that repeats zero counts as one that was not asked for. One
+    // beside it is within the same windows.
+    const owner_query query{flow, std::max(item.acknowledged, 1U)};
     for (const instance_id id : item.pending)
     {
         this->directory.on_request_sent(now, id);
@@ -170,15 +167,18 @@
 void entry_flow_core::on_answer(
     time_point now, instance_id sender, const owner_answer& message)
 {
-    const auto known = this->flows.find(message.flow);
-    if (known != this->flows.end() && known->second.companion == sender &&
-        message.answer == ownership::owned)
+    if (message.answer == ownership::owned)
     {
-        known->second.confirmed = true;
-        known->second.is_probe = false;
+        this->confirm_owner(sender, message);
     }
     const auto found = this->lookups.find(message.flow);
-    if (found == this->lookups.end())
+    // An answer that was not asked for names no sequence number: a late one may
+    // be about a former flow of the port. The lookup asks its sender anyway.
+    const bool is_answer_to_lookup =
+        found != this->lookups.end() && message.acknowledged != 0 &&
+        detail::is_within_window(
+            found->second.acknowledged, message.acknowledged);
+    if (!is_answer_to_lookup)
     {
         return;
     }
@@ -186,6 +186,7 @@
     if (message.answer == ownership::owned)
     {
         this->assign_owner(now, message.flow, sender, true);
+        this->flows[message.flow].is_evident = true;
         return;
     }
     const bool has_hint = message.owner.value != 0 &&
@@ -217,13 +218,42 @@
     }
 }
 
+void entry_flow_core::confirm_owner(
+    instance_id sender, const owner_answer& message)
+{
+    const auto found = this->flows.find(message.flow);
+    const bool is_known =
+        found != this->flows.end() && found->second.companion == sender;
+    const bool is_about_flow =
+        is_known && (message.acknowledged == 0 ||
+                     detail::is_within_window(
+                         found->second.acknowledged, message.acknowledged));
+    if (is_about_flow)
+    {
+        found->second.confirmed = true;
+        found->second.is_evident = true;
+        found->second.is_probe = false;
+    }
+}
+
+void entry_flow_core::record_sequence(
+    instance_id sender, const flow_opened& message)
+{
+    const auto found = this->flows.find(message.flow);
+    if (found != this->flows.end() && found->second.companion == sender)
+    {
+        found->second.is_evident = true;
+        found->second.acknowledged = message.upstream_sequence;
+    }
+}
+
 void entry_flow_core::finish_lookup(time_point now, const flow_endpoints& flow)
 {
     owner_lookup& item = this->lookups[flow];
     // Companions with hints are not waited for beyond the first timeout.
     const bool is_hint_round = item.rounds == 1;
     if ((item.pending.empty() || is_hint_round) &&
-        this->has_unqueried(now, flow, item))
+        this->count_unqueried(now, flow, item) != 0)
     {
         item.pending.clear();
         this->query_companions(now, flow, item);
@@ -243,8 +273,9 @@
     {
         return;
     }
-    const bool resets_caller =
-        item.has_payload && this->is_held_by_none(now, flow, item);
+    const loss_verdict verdict =
+        judge_flow_loss(this->evidence_of(now, flow, item));
+    const bool resets_caller = verdict == loss_verdict::reset;
     this->emit(
         now,
         resets_caller ? flow_event_kind::flow_reset
@@ -252,7 +283,7 @@
         flow, item.pending.empty() ? instance_id{} : item.pending.front(),
         result_code::unknown_flow_lost,
         static_cast<std::uint32_t>(item.absent.size() + item.pending.size()), 0,
-        now - item.started, this->describe_lookup(now, flow, item));
+        now - item.started, this->describe_lookup(now, flow, item, verdict));
     if (resets_caller)
     {
         this->output.reset_caller(flow, item.acknowledged);
@@ -264,6 +295,11 @@
 entry_flow_core::possible_owners(const owner_lookup& item) const
 {
     std::vector<instance_id> result;
+    if (item.owner_status == owner_state::departed)
+    {
+        // Packets of a flow whose owner was known are not tried elsewhere.
+        return result;
+    }
     for (const instance_id id : item.uncertain)
     {
         const directory_member* member = this->directory.find(id);
@@ -279,9 +315,11 @@
 bool entry_flow_core::query_former_services(
     time_point now, const flow_endpoints& flow, owner_lookup& item)
 {
-    const bool is_required = item.has_payload && !item.covers_former_services &&
-                             item.owner_status == owner_state::unknown &&
-                             this->is_held_by_none(now, flow, item);
+    const bool is_required =
+        !item.covers_former_services &&
+        item.owner_status == owner_state::unknown &&
+        judge_flow_loss(this->evidence_of(now, flow, item)) ==
+            loss_verdict::reset;
     if (!is_required)
     {
         return false;
@@ -292,7 +330,7 @@
     return !item.pending.empty();
 }
 
-bool entry_flow_core::has_unqueried(
+std::size_t entry_flow_core::count_unqueried(
     time_point now, const flow_endpoints& flow, const owner_lookup& item) const
 {
     const auto is_unqueried = [this, now, &item](instance_id id)
@@ -302,40 +340,42 @@
                                 contains(item.pending, id);
         return !is_queried && counts_as_present(now, *this->directory.find(id));
     };
-    const std::vector<service_id> services = this->services_of(flow, item);
-    return std::any_of(
-        services.begin(), services.end(),
-        [this, &is_unqueried](service_id service)
-        {
-            const auto& ids = this->directory.of_service(service);
-            return std::any_of(ids.begin(), ids.end(), is_unqueried);
-        });
+    std::size_t result = 0;
+    for (const service_id service : this->services_of(flow, item))
+    {
+        const auto& ids = this->directory.of_service(service);
+        result += static_cast<std::size_t>(
+            std::count_if(ids.begin(), ids.end(), is_unqueried));
+    }
+    return result;
 }
 
-bool entry_flow_core::is_held_by_none(
+loss_evidence entry_flow_core::evidence_of(
     time_point now, const flow_endpoints& flow, const owner_lookup& item) const
 {
-    switch (item.owner_status)
-    {
-    case owner_state::departed:
-        return item.pending.empty();
-    case owner_state::unreachable:
-        return false;
-    case owner_state::unknown:
-        break;
-    }
     const std::vector<service_id> services = this->services_of(flow, item);
-    // Silence of a companion is no evidence that its upstream has lost a flow.
-    return item.pending.empty() && item.uncertain.empty() &&
-           !item.absent.empty() && !this->has_unqueried(now, flow, item) &&
-           std::all_of(
-               services.begin(), services.end(),
-               [this, now](service_id service)
-               { return this->knows_all_companions(now, service); });
+    loss_evidence result;
+    result.owner = item.owner_status;
+    result.is_list_read = this->list_read_at.has_value();
+    result.are_all_known =
+        result.is_list_read &&
+        std::all_of(
+            services.begin(), services.end(),
+            [this, now](service_id service)
+            { return this->knows_all_companions(now, service); });
+    result.has_payload = item.has_payload;
+    result.absent = item.absent.size();
+    result.unasked = this->count_unqueried(now, flow, item);
+    result.unanswered = item.pending.size();
+    result.uncertain = item.uncertain.size();
+    return result;
 }
 
 std::string entry_flow_core::describe_lookup(
-    time_point now, const flow_endpoints& flow, const owner_lookup& item) const
+    time_point now,
+    const flow_endpoints& flow,
+    const owner_lookup& item,
+    loss_verdict verdict) const
 {
     std::size_t known = 0;
     std::size_t left = 0;
@@ -365,9 +405,9 @@
            " reported=" + std::to_string(reported) +
            " absent=" + std::to_string(item.absent.size()) +
            " uncertain=" + std::to_string(item.uncertain.size()) +
-           " unanswered=" + std::to_string(item.pending.size()) + " owner=" +
-           std::string(owner_state_names.at(
-               static_cast<std::size_t>(item.owner_status))) +
+           " unanswered=" + std::to_string(item.pending.size()) +
+           " owner=" + std::string(to_string(item.owner_status)) +
+           " kept=" + std::string(to_string(verdict)) +
            " settled=" + std::to_string(this->is_settled(now)) +
            " policy_known_ms=" + std::to_string(policy_age.count());
 }
@@ -391,6 +431,7 @@
     record.companion = owner;
     record.confirmed = is_confirmed;
     record.is_probe = !is_confirmed;
+    record.acknowledged = item.acknowledged;
     record.known_since = now;
     record.last_packet = now;
     this->emit(
--- a/tests/flow/entry_fixture.hpp
+++ b/tests/flow/entry_fixture.hpp
@@ -45,6 +45,24 @@
     return report;
 }
 
+/// The report with this order.
+inline companion_report
+with_order(companion_report report, std::uint64_t process, std::uint64_t number)
+{
+    report.order = {process, number};
+    return report;
+}
+
+/// The report of a companion that stops after its upstream has departed.
+inline companion_report
+gone_report(std::uint16_t number, std::uint32_t size = 0)
+{
+    companion_report report = sized_report(number, size);
+    report.has_left = true;
+    report.is_stopping = true;
+    return report;
+}
+
 /// A report of a companion that accepts new flows of this service.
 inline companion_report
 report_of_service(std::uint16_t number, const std::string& service)
@@ -54,6 +72,17 @@
     return report;
 }
 
+/// The answer of a companion to a query for a flow of which the caller has
+/// acknowledged this number, by default that of most data packets in tests.
+inline owner_answer answer_to(
+    const flow_endpoints& flow,
+    ownership value,
+    instance_id hint = {},
+    std::uint32_t acknowledged = 2)
+{
+    return {flow, value, hint, acknowledged};
+}
+
 /// The registration of the companion with this number.
 inline companion_record registration(std::uint16_t number)
 {
@@ -104,12 +133,14 @@
     void answer_absent(
         std::chrono::milliseconds now,
         const std::vector<std::uint16_t>& numbers,
-        const flow_endpoints& flow)
+        const flow_endpoints& flow,
+        std::uint32_t acknowledged = 2)
     {
         for (const std::uint16_t i : numbers)
         {
             this->core.on_message(
-                at(now), companion(i), owner_answer{flow, ownership::absent});
+                at(now), companion(i),
+                answer_to(flow, ownership::absent, {}, acknowledged));
         }
     }
 
