Take no list for whole while a present companion is not on it

Cause: 3 s after its first list an entry took it for whole, also if the store refused registrations: it lacked companions that held flows, and these flows were reset. Change: a list is whole once it has been read for 3 s and has all present companions of the service at one time; later companions become known one by one. Hellos state no number before that, since companions would report it back. A service whose known companions have all left is not whole because none of them lost a registration. Tests: the open case is moved as it is. make_ready() and two other fixtures now say that the list has shown their companions (their leases have ended since, as before), because the rule needs it; the table of what an entry knows separates listed from continuous and has two more cases. New cases for the stated number and for registrations that are lost later.

--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -31,6 +31,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace masticslip
@@ -340,6 +341,11 @@
     /// Call before a new or returned companion is sent a hello: the number that
     /// it is told must count it.
     void update_stated_sizes(time_point now);
+    /// True if the list has shown all companions of the service at some time
+    /// since all must have registered. Later ones become known one by one. A
+    /// companion that reports and is not listed shows that the store did not
+    /// accept registrations, so that the list may lack others, too.
+    [[nodiscard]] bool is_list_whole(time_point now, service_id service) const;
     /// Number of companions of a service for hellos; zero if not known.
     [[nodiscard]] std::uint32_t stated_size(service_id service) const;
     /// True if all companions of the service that the entry knows have
@@ -393,6 +399,8 @@
     bool has_received_report = false;
     /// Time at which the store's list was first read.
     std::optional<time_point> list_read_at;
+    /// Services of which the list has shown all companions.
+    std::set<service_id> services_listed_whole;
     /// Numbers of companions that hellos state, by service.
     std::map<service_id, std::uint32_t> stated_sizes;
 };
--- a/src/flow/entry_members.cpp
+++ b/src/flow/entry_members.cpp
@@ -251,15 +251,45 @@
 void entry_flow_core::update_stated_sizes(time_point now)
 {
     this->stated_sizes.clear();
-    if (!this->is_settled(now))
-    {
-        return;
-    }
     for (const auto& [id, member] : this->directory.all())
     {
         this->stated_sizes[member.service] +=
             counts_as_present(now, member) ? 1 : 0;
     }
+    for (auto& [service, size] : this->stated_sizes)
+    {
+        if (this->is_list_whole(now, service))
+        {
+            this->services_listed_whole.insert(service);
+        }
+        else
+        {
+            size = 0;
+        }
+    }
+}
+
+bool entry_flow_core::is_list_whole(time_point now, service_id service) const
+{
+    if (this->services_listed_whole.contains(service))
+    {
+        return true;
+    }
+    bool is_any_present = false;
+    for (const instance_id id : this->directory.of_service(service))
+    {
+        const directory_member& member = *this->directory.find(id);
+        if (!counts_as_present(now, member))
+        {
+            continue;
+        }
+        is_any_present = true;
+        if (!member.is_listed)
+        {
+            return false;
+        }
+    }
+    return is_any_present && this->is_settled(now);
 }
 
 std::uint32_t entry_flow_core::stated_size(service_id service) const
@@ -273,7 +303,8 @@
 {
     std::uint32_t known = 0;
     std::uint32_t reported = 0;
-    bool are_registrations_kept = !this->directory.of_service(service).empty();
+    bool is_any_present = false;
+    bool are_registrations_kept = true;
     for (const instance_id id : this->directory.of_service(service))
     {
         const directory_member& member = *this->directory.find(id);
@@ -285,6 +316,7 @@
         {
             return false;
         }
+        is_any_present = true;
         // A companion that is not counted yet must not stand in for one that is
         // not known.
         known += member.is_counted ? 1 : 0;
@@ -294,10 +326,9 @@
     }
     // The store may have lost registrations: then only a number that an entry
     // has stated, or the time, shows that all have registered again.
-    const bool is_list_whole =
-        reported == 0 ? are_registrations_kept || this->is_settled(now)
-                      : known >= reported;
-    return is_list_whole;
+    return reported == 0 ? (is_any_present && are_registrations_kept) ||
+                               this->is_list_whole(now, service)
+                         : known >= reported;
 }
 
 void entry_flow_core::send_hello_to_all(time_point now)
--- a/tests/flow/entry_evidence_test.cpp
+++ b/tests/flow/entry_evidence_test.cpp
@@ -317,4 +317,54 @@
     BOOST_TEST(output.resets.empty());
 }
 
+// The store answers reads but refuses registrations for more than 3 s: its list
+// lacks companion 1, which reports, and companion 2, which is not known.
+BOOST_FIXTURE_TEST_CASE(
+    a_list_that_lacks_a_present_companion_does_not_become_whole_with_time,
+    entry_fixture)
+{
+    core.on_policy(at(0ms), test_policy(7));
+    core.on_list_read(at(0ms));
+    report_from({1}, 0ms, 3'500ms);
+    core.on_caller_packet(at(3'500ms), data_packet(test_flow(1), 1'001, 2));
+    answer_absent(3'501ms, {1}, test_flow(1));
+    BOOST_TEST(output.resets.empty());
+}
+
+// Guard: hellos state no number that the entry would not rely on itself. The
+// companions would report it back.
+BOOST_FIXTURE_TEST_CASE(
+    a_list_that_lacks_a_present_companion_is_not_stated_in_hellos,
+    entry_fixture)
+{
+    core.on_policy(at(0ms), test_policy(7));
+    core.on_list_read(at(0ms));
+    report_from({1}, 0ms, 4'000ms);
+    for (const entry_hello& hello : messages_of<entry_hello>(output.sent))
+    {
+        BOOST_TEST(hello.service_size == 0U);
+    }
+    core.on_listed(at(4'001ms), registration(1));
+    report_from({1}, 4'250ms, 4'500ms);
+    const auto hellos = messages_of<entry_hello>(output.sent);
+    BOOST_REQUIRE(!hellos.empty());
+    BOOST_TEST(hellos.back().service_size == 1U);
+}
+
+// Guard: registrations that are lost later hide no companion that the list has
+// shown before.
+BOOST_FIXTURE_TEST_CASE(
+    a_list_that_was_whole_remains_evidence_after_registrations_are_lost,
+    entry_fixture)
+{
+    core.on_policy(at(0ms), test_policy(7));
+    core.on_list_read(at(0ms));
+    core.on_listed(at(0ms), registration(1));
+    report_from({1}, 0ms, 4'000ms);
+    core.on_unlisted(at(4'001ms), companion(1));
+    core.on_caller_packet(at(4'002ms), data_packet(test_flow(1), 1'001, 2));
+    answer_absent(4'003ms, {1}, test_flow(1));
+    BOOST_TEST(output.resets.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/flow/entry_fixture.hpp
+++ b/tests/flow/entry_fixture.hpp
@@ -3,6 +3,8 @@
 
 #include "recording_outputs.hpp"
 
+#include <numeric>
+
 namespace masticslip::test
 {
 
@@ -99,19 +101,41 @@
     }
 
     /// Installs a policy and reports companions 1 to `count`, with load
-    /// increasing by number.
+    /// increasing by number. The list has shown them all; tests that depend on
+    /// their being listed still list them.
     void make_ready(std::uint16_t count)
     {
         this->core.on_policy(at(0ms), test_policy(7));
-        for (std::uint16_t i = 1; i <= count; ++i)
+        std::vector<std::uint16_t> numbers(count);
+        std::iota(
+            numbers.begin(), numbers.end(), static_cast<std::uint16_t>(1));
+        this->list_for_a_time(numbers, "meetups");
+        for (const std::uint16_t i : numbers)
         {
             this->core.on_message(
                 at(0ms), companion(i), ready_report(i, 3U * i));
         }
-        this->core.on_list_read(at(-10s));
         this->output.sent.clear();
     }
 
+    /// The list has shown these companions of a service long after they had to
+    /// register, and no longer does: their leases have ended.
+    void list_for_a_time(
+        const std::vector<std::uint16_t>& numbers, const std::string& service)
+    {
+        this->core.on_list_read(at(-10s));
+        for (const std::uint16_t i : numbers)
+        {
+            companion_record record = registration(i);
+            record.service = service;
+            this->core.on_listed(at(0ms), record);
+        }
+        for (const std::uint16_t i : numbers)
+        {
+            this->core.on_unlisted(at(0ms), companion(i));
+        }
+    }
+
     /// Companions with these numbers report each 250 ms from `from` to `to`;
     /// the others are silent.
     void report_from(
--- a/tests/flow/entry_late_message_test.cpp
+++ b/tests/flow/entry_late_message_test.cpp
@@ -88,7 +88,7 @@
 {
     make_ready(1);
     core.on_message(at(0ms), companion(1), with_order(ready_report(1), 2, 1));
-    core.on_tick(at(250ms));
+    core.on_tick(at(260ms));
     BOOST_REQUIRE(!core.is_ready(at(700ms)));
     core.on_message(at(700ms), companion(1), with_order(ready_report(1), 1, 9));
     BOOST_TEST(core.is_ready(at(700ms)));
@@ -101,7 +101,7 @@
     make_ready(1);
     core.on_message(at(0ms), companion(1), with_order(ready_report(1), 5, 7));
     core.on_message(at(1ms), companion(1), with_order(ready_report(1), 4, 9));
-    core.on_tick(at(250ms));
+    core.on_tick(at(260ms));
     const auto hellos = messages_of<entry_hello>(output.sent);
     BOOST_REQUIRE(!hellos.empty());
     BOOST_TEST(hellos.back().newest_report.process == 5U);
--- a/tests/flow/entry_lookups_test.cpp
+++ b/tests/flow/entry_lookups_test.cpp
@@ -195,7 +195,9 @@
     bool has_unheard_companion;
     /// Number of companions that the others report.
     std::uint32_t reported_size;
-    /// All are listed and report that their registrations were not lost.
+    /// All are listed.
+    bool are_listed;
+    /// All report that their registrations were not lost.
     bool is_continuous;
     std::size_t resets;
 };
@@ -206,14 +208,17 @@
 }
 
 const std::vector<knowledge_case> knowledge_cases{
-    {"all_are_known", -1ms, false, 2, false, 1},
-    {"no_number_long_after_the_list", -3'000ms, false, 0, false, 1},
-    {"no_number_and_no_registration_was_lost", -1ms, false, 0, true, 1},
-    {"one_has_left_meanwhile", -1ms, false, 1, false, 1},
-    {"the_list_was_not_read", 0ms, false, 2, true, 0},
-    {"no_number_soon_after_the_list", -2'900ms, false, 0, false, 0},
-    {"a_listed_companion_has_not_reported", -10'000ms, true, 2, true, 0},
-    {"others_know_more_companions", -10'000ms, false, 3, true, 0}};
+    {"all_are_known", -1ms, false, 2, false, false, 1},
+    {"no_number_long_after_the_list", -3'000ms, false, 0, true, false, 1},
+    {"no_number_and_no_registration_was_lost", -1ms, false, 0, true, true, 1},
+    {"one_has_left_meanwhile", -1ms, false, 1, false, false, 1},
+    {"the_list_was_not_read", 0ms, false, 2, true, true, 0},
+    {"no_number_soon_after_the_list", -2'900ms, false, 0, true, false, 0},
+    {"no_number_and_not_listed", -10'000ms, false, 0, false, false, 0},
+    {"not_listed_but_kept_according_to_reports", -1ms, false, 0, false, true,
+     0},
+    {"a_listed_companion_has_not_reported", -10'000ms, true, 2, true, true, 0},
+    {"others_know_more_companions", -10'000ms, false, 3, true, true, 0}};
 
 BOOST_DATA_TEST_CASE_F(
     entry_fixture,
@@ -227,7 +232,7 @@
         companion_report report = ready_report(i);
         report.service_size = item.reported_size;
         report.is_registration_continuous = item.is_continuous;
-        if (item.is_continuous)
+        if (item.are_listed)
         {
             core.on_listed(at(0ms), registration(i));
         }
--- a/tests/flow/entry_lost_companions_test.cpp
+++ b/tests/flow/entry_lost_companions_test.cpp
@@ -148,7 +148,7 @@
     core.on_policy(
         at(0ms),
         std::make_shared<policy>(store_position{0, 7}, std::move(value)));
-    core.on_list_read(at(-10s));
+    list_for_a_time({1, 2}, "meetups");
     core.on_message(at(0ms), companion(1), ready_report(1, 3));
     companion_report remote = ready_report(2, 0);
     remote.failure_domain = "kgl-gas";
--- a/tests/flow/entry_open_evidence_test.cpp
+++ b/tests/flow/entry_open_evidence_test.cpp
@@ -10,20 +10,6 @@
 
 BOOST_AUTO_TEST_SUITE(entry_open_evidence)
 
-// The store answers reads but refuses registrations for more than 3 s: its list
-// lacks companion 1, which reports, and companion 2, which is not known.
-BOOST_FIXTURE_TEST_CASE(
-    a_list_that_lacks_a_present_companion_does_not_become_whole_with_time,
-    entry_fixture)
-{
-    core.on_policy(at(0ms), test_policy(7));
-    core.on_list_read(at(0ms));
-    report_from({1}, 0ms, 3'500ms);
-    core.on_caller_packet(at(3'500ms), data_packet(test_flow(1), 1'001, 2));
-    answer_absent(3'501ms, {1}, test_flow(1));
-    BOOST_TEST(output.resets.empty());
-}
-
 // The route named "papers" until 61 s ago. The flow is older, and companion 3
 // has restarted.
 BOOST_FIXTURE_TEST_CASE(
--- a/tests/flow/entry_policy_evidence_test.cpp
+++ b/tests/flow/entry_policy_evidence_test.cpp
@@ -21,6 +21,7 @@
     changed_route_fixture()
     {
         this->make_ready(2);
+        this->list_for_a_time({3, 4}, "papers");
         for (const std::uint16_t i : {3, 4})
         {
             companion_report report = report_of_service(i, "papers");
