Do not take a missing status as evidence that the upstream has gone

Cause: after 2.5 status intervals without a status or packet a companion denied all unknown flows, and stated at a stop that its upstream had left. A starved upstream or a cut link looks the same, and its flows were reset.

Change: only a departure message or a refused connection says that the upstream is down.

--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -134,9 +134,8 @@
         return this->monitor;
     }
 
-    /// True if the upstream has departed or is absent, or has sent neither its
-    /// status nor a packet for as long as makes a status overdue.
-    [[nodiscard]] bool upstream_is_down(time_point now) const;
+    /// True if the upstream has departed or a presence check found it absent.
+    [[nodiscard]] bool upstream_is_down() const;
 
     /// True if the process may exit after on_stop: the presence check has ended
     /// and no request is in flight, or their time limits have passed.
--- a/src/flow/companion_admission.cpp
+++ b/src/flow/companion_admission.cpp
@@ -285,7 +285,7 @@
 bool companion_flow_core::has_left(time_point now) const
 {
     // A companion that stops after its upstream has ended does not return.
-    return this->upstream_is_down(now) &&
+    return this->upstream_is_down() &&
            ((this->stopping && !this->awaits_presence(now)) ||
             this->monitor.has_departed() || this->monitor.may_have_departed());
 }
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -349,7 +349,7 @@
     {
         return false;
     }
-    return this->upstream_is_down(now) || this->in_flight == 0 ||
+    return this->upstream_is_down() || this->in_flight == 0 ||
            now - this->stopped_at >= stop_limit;
 }
 
--- a/src/flow/companion_presence.cpp
+++ b/src/flow/companion_presence.cpp
@@ -2,8 +2,6 @@
 
 #include "masticslip/flow/companion_flow_core.hpp"
 
-#include <algorithm>
-
 namespace masticslip
 {
 
@@ -76,12 +74,9 @@
            now - this->stopped_at < stop_check_limit;
 }
 
-bool companion_flow_core::upstream_is_down(time_point now) const
+bool companion_flow_core::upstream_is_down() const
 {
-    const time_point last_sign =
-        std::max(this->observing_since, this->monitor.last_sign_of_life());
-    return this->monitor.has_departed() || this->monitor.is_absent() ||
-           now - last_sign > this->monitor.overdue_limit();
+    return this->monitor.has_departed() || this->monitor.is_absent();
 }
 
 bool companion_flow_core::contradicts_absence(
@@ -102,7 +97,7 @@
 {
     const bool knows_all =
         this->monitor.is_observed_since_start() && now >= this->evicted_until;
-    return !knows_all && !this->upstream_is_down(now);
+    return !knows_all && !this->upstream_is_down();
 }
 
 } // namespace masticslip
--- a/src/flow/upstream_monitor.cpp
+++ b/src/flow/upstream_monitor.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-/// Time without a status after which the upstream counts as down, in status
+/// Time without a status after which the upstream gets no new flows, in status
 /// intervals. Tolerates one delayed and one lost status.
 constexpr double overdue_intervals = 2.5;
 /// An upstream that does not answer packets for this long is silent. Longer
@@ -206,15 +206,10 @@
     return this->is_silent(now) && this->is_status_overdue(now);
 }
 
-duration upstream_monitor::overdue_limit() const
-{
-    return std::chrono::duration_cast<duration>(
-        this->limits.status_interval * overdue_intervals);
-}
-
 bool upstream_monitor::is_status_overdue(time_point now) const
 {
-    return now - this->status_received_at > this->overdue_limit();
+    return now - this->status_received_at >
+           this->limits.status_interval * overdue_intervals;
 }
 
 } // namespace masticslip
--- a/src/node/companion_node.cpp
+++ b/src/node/companion_node.cpp
@@ -115,7 +115,7 @@
 
 void companion_node::exit()
 {
-    if (!this->core.upstream_is_down(node_now()))
+    if (!this->core.upstream_is_down())
     {
         this->context.stop();
         return;
