Refuse openings whose turn would come after their callers gave up

Cause: under overload every opening that waits is held up to its wait limit and then reset, although most could never have been placed. Their callers lose the time for an alternative. An opening of one service also waited a timer round if openings of another service waited.

Change: wait_estimate decides, without clocks or sockets, which waiting openings are refused with not_run_wait_too_long: the rate of the service from the companions' loads, the wait ahead from the openings that go first here and at the other entries, and the pace of the route itself. Where one would wait too long, the newest of its route is refused if that makes room. Only openings that can never have been opened are refused; an isolated entry refuses nothing early. The event states wait, rate and the age of the rate. Without a measured rate nothing changes; companions do not fill the measurements yet.

The functions for waiting openings move to entry_waiting.cpp. They wait by service. Equal openings go in order of arrival instead of by the caller's address, and a target that an answer cannot meet any more counts as missed (sort_waiting takes the time of the answer).

--- a/include/masticslip/flow/detail/entry_flow_limits.hpp
+++ b/include/masticslip/flow/detail/entry_flow_limits.hpp
@@ -19,6 +19,9 @@
 /// of members is read at most a second later.
 constexpr std::chrono::seconds discovery_time{3};
 
+/// Retry interval of openings that wait for capacity.
+constexpr std::chrono::milliseconds wait_interval{20};
+
 inline bool contains(const std::vector<instance_id>& ids, instance_id id)
 {
     return std::find(ids.begin(), ids.end(), id) != ids.end();
--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -22,6 +22,7 @@
 #include "masticslip/flow/flow_placement.hpp"
 #include "masticslip/flow/peer_contact.hpp"
 #include "masticslip/flow/policy_succession.hpp"
+#include "masticslip/flow/wait_estimate.hpp"
 #include "masticslip/flow/waiting_order.hpp"
 
 #include <boost/unordered/unordered_flat_map.hpp>
@@ -165,6 +166,10 @@
         bytes packet;
         /// Number of copies that the caller sent before this one.
         std::uint32_t copy_number = 0;
+        /// Rises with each opening that arrives.
+        std::uint64_t arrival = 0;
+        /// Service with whose openings it waits.
+        service_id service;
         time_point first_seen;
         time_point deadline;
         std::vector<instance_id> tried;
@@ -172,7 +177,28 @@
         std::uint32_t unanswered_attempts = 0;
         /// No companion has capacity: retried until the wait limit is reached.
         bool is_waiting = false;
+        /// Its route's meter has counted its arrival, and its last placement.
+        bool has_arrived = false;
+        bool has_place = false;
         result_code last_refusal = result_code::not_run_no_upstream;
+
+        /// False if a companion that has not answered may have opened the flow,
+        /// or if this may be a copy for a flow that another entry placed.
+        [[nodiscard]] bool was_never_opened() const
+        {
+            return this->unanswered_attempts == 0 && this->copy_number == 0;
+        }
+    };
+
+    /// Openings of one service that wait. Exists only while there are any.
+    struct waiting_service
+    {
+        std::size_t count = 0;
+        service_rate rate;
+        /// Time of the estimate; zero if there is none.
+        time_point rate_estimated_at;
+        /// Of the routes with waiting openings.
+        std::map<endpoint, pace_meter> meters;
     };
 
     /// What is known of the owner of a flow that is looked up. A later value
@@ -215,10 +241,48 @@
     void on_packet_without_route(time_point now, const flow_packet& packet);
     void on_opening(time_point now, const flow_packet& packet);
     void place(time_point now, const flow_endpoints& flow, opening& item);
-    void reject(time_point now, const flow_endpoints& flow, opening& item);
-    /// Places waiting openings in sort_waiting() order while there is capacity.
+    void reject(
+        time_point now,
+        const flow_endpoints& flow,
+        opening& item,
+        std::string_view detail = {});
+    /// Places waiting openings while there is capacity, and refuses those whose
+    /// callers do not wait that long.
     void place_waiting(time_point now);
-    [[nodiscard]] std::vector<waiting_opening> waiting_openings() const;
+    /// Counts arrivals and openings that were refused by companions.
+    void count_waiting(
+        time_point now,
+        service_id service,
+        const std::vector<waiting_opening>& openings);
+    /// Places the openings of one service in this order.
+    void place_in_order(
+        time_point now,
+        service_id service,
+        const std::vector<waiting_opening>& order);
+    void
+    count_place(time_point now, service_id service, const flow_endpoints& flow);
+    void refuse_long_waits(
+        time_point now,
+        service_id service,
+        const std::vector<waiting_opening>& order);
+    /// The estimate for a service with waiting openings. It is renewed once per
+    /// retry interval, since it reads the loads of all its companions.
+    [[nodiscard]] service_rate current_rate(time_point now, service_id service);
+    [[nodiscard]] service_pace current_pace(time_point now, service_id service);
+    [[nodiscard]] std::map<service_id, std::vector<waiting_opening>>
+    waiting_openings();
+    /// Service of the flow's route; zero if there is no route.
+    [[nodiscard]] service_id service_of(const flow_endpoints& flow) const;
+    /// Time limit of the flow's route, or the default.
+    [[nodiscard]] std::chrono::milliseconds
+    time_limit_of(const flow_endpoints& flow) const;
+    [[nodiscard]] queued_opening queued_opening_of(
+        time_point now,
+        const waiting_opening& waiting,
+        const opening& item,
+        duration request_time) const;
+    [[nodiscard]] remaining_wait remaining_wait_of(
+        time_point now, const flow_endpoints& flow, const opening& item) const;
     void set_waiting(opening& item, bool value);
     void erase_opening(const flow_endpoints& flow);
     [[nodiscard]] duration full_load_validity() const;
@@ -371,7 +435,8 @@
     flow_table<flow_record> flows;
     flow_table<opening> openings;
     flow_table<owner_lookup> lookups;
-    std::size_t waiting_count = 0;
+    std::uint64_t arrival_count = 0;
+    std::map<service_id, waiting_service> waiting_services;
     /// No opening or lookup is due before this.
     std::optional<time_point> earliest_deadline;
     time_point next_sweep;
--- a/include/masticslip/flow/waiting_order.hpp
+++ b/include/masticslip/flow/waiting_order.hpp
@@ -18,14 +18,19 @@
 struct waiting_opening
 {
     flow_endpoints flow;
-    service_id service;
     time_point first_seen;
+    /// Rises with each opening that arrives at the entry; decides between equal
+    /// ones, so that no caller address has an advantage.
+    std::uint64_t arrival = 0;
     std::chrono::milliseconds target_latency{};
     /// Lower values go first.
     std::uint32_t priority = 0;
 };
 
-/// Sorts in the order of placement. Thread-safe.
-void sort_waiting(time_point now, std::vector<waiting_opening>& openings);
+/// Sorts openings of one service in the order of placement. `answer_time` is
+/// when an opening that is placed now is answered: a target before it cannot be
+/// met. Thread-safe.
+void sort_waiting(
+    time_point answer_time, std::vector<waiting_opening>& openings);
 
 } // namespace masticslip
--- a/src/flow/entry_openings.cpp
+++ b/src/flow/entry_openings.cpp
@@ -11,8 +11,8 @@
 {
 
 using detail::contains;
-using detail::discovery_time;
 using detail::lookup_width;
+using detail::wait_interval;
 
 namespace
 {
@@ -34,8 +34,6 @@
 /// the bytes of others.
 constexpr double remote_cost = 0.1;
 constexpr double remote_bulk_cost = 1.0;
-/// Retry interval of openings that wait for capacity.
-constexpr std::chrono::milliseconds wait_interval{20};
 /// While openings wait, a load without capacity is considered current for this
 /// long. Companions report new capacity on their own; the limit covers lost
 /// reports. It grows with the number of entries, to bound the rate of openings
@@ -43,8 +41,6 @@
 constexpr std::chrono::milliseconds full_load_validity_per_entry{10};
 constexpr std::chrono::milliseconds min_full_load_validity{50};
 constexpr std::chrono::milliseconds max_full_load_validity{400};
-/// Time limit of routes that do not set one.
-constexpr std::chrono::milliseconds default_time_limit{1'000};
 
 /// Assumes capacity for one flow at a companion whose full load is outdated.
 void assume_capacity(placement_candidate& candidate)
@@ -102,48 +98,20 @@
     item.packet.assign(packet.raw.begin(), packet.raw.end());
     item.copy_number = packet.acknowledged;
     item.first_seen = now;
+    item.arrival = ++this->arrival_count;
+    item.service = this->service_of(packet.flow);
+    const bool must_wait = this->waiting_services.contains(item.service);
     const auto created = this->openings.emplace(packet.flow, std::move(item));
-    if (this->waiting_count != 0)
+    if (must_wait)
     {
-        // Openings that already wait go first.
+        // Openings of the service that already wait go first.
         this->set_waiting(created.first->second, true);
-        created.first->second.deadline = now;
         this->arm_timer(now);
         return;
     }
     this->place(now, packet.flow, created.first->second);
 }
 
-void entry_flow_core::set_waiting(opening& item, bool value)
-{
-    if (item.is_waiting != value)
-    {
-        item.is_waiting = value;
-        this->waiting_count += value ? 1 : -1;
-    }
-}
-
-void entry_flow_core::erase_opening(const flow_endpoints& flow)
-{
-    const auto found = this->openings.find(flow);
-    if (found != this->openings.end())
-    {
-        this->set_waiting(found->second, false);
-        this->openings.erase(found);
-    }
-}
-
-void entry_flow_core::retry_waiting_openings(
-    time_point now, const upstream_load& load)
-{
-    const bool has_capacity = load.refusal == result_code::done &&
-                              (!load.is_cold || load.cold_capacity != 0);
-    if (has_capacity && this->waiting_count != 0)
-    {
-        this->arm_timer(now);
-    }
-}
-
 duration entry_flow_core::full_load_validity() const
 {
     return std::clamp<duration>(
@@ -209,8 +177,7 @@
     {
         this->set_waiting(item, true);
         item.tried.clear();
-        item.deadline = now + wait_interval;
-        this->arm_timer(item.deadline);
+        this->arm_timer(now + wait_interval);
         return;
     }
     if (!chosen)
@@ -245,58 +212,20 @@
     this->output.send_packet(member.record.packet_address, item.packet);
 }
 
-bool entry_flow_core::has_reached_wait_limit(
-    time_point now, const flow_endpoints& flow, const opening& item) const
-{
-    const route_definition* route =
-        this->current_policy().find_route(flow.target);
-    const bool is_stated = route != nullptr && route->time_limit.count() != 0;
-    const auto time_limit = is_stated ? route->time_limit : default_time_limit;
-    return now - item.first_seen >= time_limit * this->settings.wait_share;
-}
-
-bool entry_flow_core::may_wait(
-    time_point now, const flow_endpoints& flow, const opening& item) const
-{
-    const route_definition* route =
-        this->current_policy().find_route(flow.target);
-    if (route == nullptr || this->has_reached_wait_limit(now, flow, item))
-    {
-        return false;
-    }
-    const auto& ids =
-        this->directory.of_service(make_service_id(route->service));
-    if (ids.empty() && now - this->first_policy_at < discovery_time)
-    {
-        return true;
-    }
-    return std::any_of(
-        ids.begin(), ids.end(),
-        [this, now](instance_id id)
-        {
-            const directory_member& member = *this->directory.find(id);
-            const auto& domain = member.record.failure_domain;
-            const bool is_leaving =
-                member.has_left ||
-                member.load.refusal == result_code::not_run_upstream_leaving;
-            return !is_leaving && !this->is_lost(now, member) &&
-                   !this->current_policy().value().is_withdrawn(domain);
-        });
-}
-
 void entry_flow_core::reject(
-    time_point now, const flow_endpoints& flow, opening& item)
+    time_point now,
+    const flow_endpoints& flow,
+    opening& item,
+    std::string_view detail)
 {
-    // No reset if a companion that has not answered may have opened the flow,
-    // or if this may be a copy for a flow that another entry placed.
-    const bool is_certain =
-        item.unanswered_attempts == 0 && item.copy_number == 0;
+    const bool is_certain = item.was_never_opened();
     this->emit(
         now,
         is_certain ? flow_event_kind::flow_rejected
                    : flow_event_kind::packet_dropped,
         flow, {}, item.last_refusal, 0,
-        static_cast<std::uint32_t>(item.tried.size()), now - item.first_seen);
+        static_cast<std::uint32_t>(item.tried.size()), now - item.first_seen,
+        detail);
     if (is_certain)
     {
         this->output.reset_caller(flow, 0);
@@ -392,60 +321,4 @@
     this->place_waiting(now);
 }
 
-std::vector<waiting_opening> entry_flow_core::waiting_openings() const
-{
-    std::vector<waiting_opening> result;
-    result.reserve(this->waiting_count);
-    for (const auto& [flow, item] : this->openings)
-    {
-        if (!item.is_waiting)
-        {
-            continue;
-        }
-        waiting_opening waiting;
-        waiting.flow = flow;
-        waiting.first_seen = item.first_seen;
-        if (const route_definition* route =
-                this->current_policy().find_route(flow.target))
-        {
-            waiting.service = make_service_id(route->service);
-            waiting.target_latency = route->target_latency;
-            waiting.priority = route->priority;
-        }
-        result.push_back(waiting);
-    }
-    return result;
-}
-
-void entry_flow_core::place_waiting(time_point now)
-{
-    if (this->waiting_count == 0)
-    {
-        return;
-    }
-    auto waiting = this->waiting_openings();
-    sort_waiting(now, waiting);
-    std::vector<service_id> full;
-    for (const waiting_opening& item : waiting)
-    {
-        opening& pending = this->openings[item.flow];
-        const bool is_full =
-            std::find(full.begin(), full.end(), item.service) != full.end();
-        if (is_full && !this->has_reached_wait_limit(now, item.flow, pending))
-        {
-            continue;
-        }
-        this->place(now, item.flow, pending);
-        const auto remaining = this->openings.find(item.flow);
-        if (remaining != this->openings.end() && remaining->second.is_waiting)
-        {
-            full.push_back(item.service);
-        }
-    }
-    if (this->waiting_count != 0)
-    {
-        this->arm_timer(now + wait_interval);
-    }
-}
-
 } // namespace masticslip
--- a/src/flow/waiting_order.cpp
+++ b/src/flow/waiting_order.cpp
@@ -6,15 +6,16 @@
 namespace masticslip
 {
 
-void sort_waiting(time_point now, std::vector<waiting_opening>& openings)
+void sort_waiting(
+    time_point answer_time, std::vector<waiting_opening>& openings)
 {
-    const auto rank = [now](const waiting_opening& item)
+    const auto rank = [answer_time](const waiting_opening& item)
     {
         const time_point target_end = item.first_seen + item.target_latency;
-        const bool is_late = target_end <= now;
+        const bool is_late = target_end <= answer_time;
         return std::make_tuple(
             item.priority, is_late, is_late ? item.first_seen : target_end,
-            item.flow);
+            item.arrival);
     };
     std::sort(
         openings.begin(), openings.end(),
