Put upstreams that end flows without an answer on probation

Change: upstream_stability counts restarts without a departure or drain, and silences with requests in flight, as losses. Placement chooses an upstream on probation only if no other accepts; unrepeatable requests then use half of its slots, unless the service has no other upstreams.

--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -24,6 +24,7 @@
 #include "masticslip/flow/opening_backoff.hpp"
 #include "masticslip/flow/policy_succession.hpp"
 #include "masticslip/flow/upstream_monitor.hpp"
+#include "masticslip/flow/upstream_stability.hpp"
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
@@ -276,6 +277,11 @@
     void forget_service_sizes();
     [[nodiscard]] companion_report report(time_point now);
     void send_reports(time_point now);
+    /// Counts silences as losses, and reports changes of the probation.
+    void watch_stability(time_point now);
+    /// Requests in flight at which new flows are refused.
+    [[nodiscard]] std::uint32_t
+    in_flight_limit(const upstream_load& load) const;
     /// Sends a report to one refused entry for each free slot.
     void notify_waiting_entries(time_point now);
     /// Time without packets after which a flow is removed.
@@ -326,6 +332,7 @@
     flow_event_sink& events;
     policy_succession policies;
     upstream_monitor monitor;
+    upstream_stability stability;
     cold_start_limit cold_limit;
     opening_backoff backoff;
     capacity_waiters waiters;
@@ -351,6 +358,9 @@
     bool stopping = false;
     time_point stopped_at;
     bool was_withdrawn = false;
+    bool was_on_probation = false;
+    bool was_silent = false;
+    std::uint32_t reported_losses = 0;
     bool is_registration_continuous = false;
     result_code last_refusal = result_code::not_run_no_upstream;
 };
--- a/include/masticslip/flow/flow_placement.hpp
+++ b/include/masticslip/flow/flow_placement.hpp
@@ -5,6 +5,8 @@
 /// and many flows open between two reports. Each entry therefore adds its own
 /// recent placements to the reported load, and breaks ties by the flow's hash,
 /// so that entries with the same data do not all choose the same upstream.
+/// An upstream on probation (upstream_stability.hpp) looks idle and is chosen
+/// only if no other accepts, for repeatable requests before others.
 ///
 ///     const placement_rule* rule = find_placement_rule("two_choices");
 ///     const auto chosen = rule->choose(candidates, {hash, remote_cost});
@@ -42,6 +44,9 @@
     /// Cost added to remote candidates, in requests per slot; higher for
     /// routes whose flows carry more bytes.
     double remote_cost = 0;
+    /// False if a request of the flow must run at most once: a loss of its
+    /// upstream leaves its caller without an answer.
+    bool is_repeatable = true;
 };
 
 /// Expected load of a candidate with one more flow, in requests per slot;
--- a/src/flow/companion_admission.cpp
+++ b/src/flow/companion_admission.cpp
@@ -17,11 +17,17 @@
 /// Requests in flight per slot of the upstream at which new flows are
 /// refused: the upstream's own queue holds about three times its slots.
 constexpr std::uint32_t in_flight_per_slot = 4;
+/// The same for an upstream on probation: few flows are lost if it goes down
+/// again, and its answers show that it has recovered.
+constexpr std::uint32_t probation_in_flight_per_slot = 1;
 /// The same for a cold upstream, which works more slowly.
 constexpr std::uint32_t cold_in_flight_per_slot = 2;
 /// Numbers of companions that entries stated are reported for this long: until
 /// entries that were restarted together know all companions again.
 constexpr std::chrono::seconds service_size_retention{5};
+/// After a suspension of this process its upstream has this long to answer
+/// before it counts as silent; the monitor's limit of silence.
+constexpr std::chrono::milliseconds silence_confirmation{400};
 
 } // namespace
 
@@ -229,14 +235,16 @@
         status == nullptr ? 1 : std::max(1U, status->concurrency);
     result.refusal = this->monitor.refusal(now);
     result.is_cold = this->monitor.is_cold(now);
+    result.on_probation = this->stability.is_on_probation(now);
     if (result.is_cold)
     {
         const auto* service = this->current_policy().find_service(
             make_service_id(this->settings.service));
         const double rate =
             service == nullptr ? 0 : service->cold_flows_per_second;
-        const std::uint32_t allowed =
-            result.concurrency * cold_in_flight_per_slot;
+        const std::uint32_t allowed = std::min(
+            result.concurrency * cold_in_flight_per_slot,
+            this->in_flight_limit(result));
         const std::uint32_t free_slots =
             allowed - std::min(allowed, this->in_flight);
         // A rate of zero means no limit.
@@ -258,13 +266,60 @@
     }
     else if (
         result.refusal == result_code::done &&
-        this->in_flight >= result.concurrency * in_flight_per_slot)
+        this->in_flight >= this->in_flight_limit(result))
     {
         result.refusal = result_code::not_run_overloaded;
     }
     return result;
 }
 
+std::uint32_t
+companion_flow_core::in_flight_limit(const upstream_load& load) const
+{
+    return load.concurrency * (load.on_probation ? probation_in_flight_per_slot
+                                                 : in_flight_per_slot);
+}
+
+void companion_flow_core::watch_stability(time_point now)
+{
+    // At two successive ticks: after a short suspension of this process the
+    // answers are read between them.
+    const bool is_silent = this->monitor.is_silent(now);
+    const bool is_confirmed =
+        is_silent && this->was_silent &&
+        now - this->observing_since > silence_confirmation;
+    this->was_silent = is_silent;
+    if (is_confirmed && this->in_flight != 0)
+    {
+        this->stability.on_silence(now);
+    }
+    else if (
+        !is_silent &&
+        this->monitor.last_sign_of_life() > this->stability.last_loss_at())
+    {
+        // A bounce ends a silence too, but comes from the machine.
+        this->stability.on_answer(now);
+    }
+    const bool on_probation = this->stability.is_on_probation(now);
+    if (on_probation == this->was_on_probation &&
+        this->stability.loss_count() == this->reported_losses)
+    {
+        return;
+    }
+    this->was_on_probation = on_probation;
+    this->reported_losses = this->stability.loss_count();
+    const std::string detail =
+        on_probation ? "probation_ms=" +
+                           std::to_string(this->stability.probation().count()) +
+                           " after=" +
+                           std::string(to_string(this->stability.last_loss()))
+                     : "probation_ended";
+    this->emit(
+        now, flow_event_kind::upstream_changed, {}, {},
+        this->monitor.refusal(now), detail);
+    this->send_reports(now);
+}
+
 companion_report companion_flow_core::report(time_point now)
 {
     companion_report result;
@@ -314,7 +369,7 @@
     {
         return;
     }
-    const std::uint32_t limit = current.concurrency * in_flight_per_slot;
+    const std::uint32_t limit = this->in_flight_limit(current);
     std::uint32_t free_slots = current.is_cold
                                    ? current.cold_capacity
                                    : limit - std::min(limit, current.in_flight);
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -94,6 +94,8 @@
     {
         this->monitor.invalidate_status();
     }
+    this->stability.on_status(
+        now, status, this->open_flows + this->in_flight != 0);
     if (is_restart)
     {
         this->backoff.clear();
@@ -124,6 +126,7 @@
             result_code::dropped_stale, incarnation.id);
         return false;
     }
+    this->stability.on_departure();
     this->forget_service_sizes();
     this->emit(
         now, flow_event_kind::upstream_changed, {}, {},
@@ -281,6 +284,7 @@
     {
         this->forget_service_sizes();
     }
+    this->watch_stability(now);
     const result_code refusal = this->monitor.refusal(now);
     if (refusal != this->last_refusal)
     {
--- a/src/flow/entry_openings.cpp
+++ b/src/flow/entry_openings.cpp
@@ -201,7 +201,8 @@
     const bool carries_bulk = route != nullptr && is_bulk(route->kind);
     const placement_request request{
         hash_flow_endpoints(flow),
-        carries_bulk ? remote_bulk_cost : remote_cost};
+        carries_bulk ? remote_bulk_cost : remote_cost,
+        route == nullptr || is_repeatable(route->kind)};
     const auto chosen = item.tried.size() < max_attempts
                             ? this->placement->choose(candidates, request)
                             : std::nullopt;
--- a/src/flow/flow_placement.cpp
+++ b/src/flow/flow_placement.cpp
@@ -22,6 +22,10 @@
 /// Costs that differ by less than this, in requests per slot, are ties.
 constexpr double tie_width = 0.02;
 constexpr std::uint64_t tie_steps = 1'024;
+/// Share of the slots of an upstream on probation that flows of unrepeatable
+/// requests may use, as a divisor. The rest is left to repeatable ones, whose
+/// callers can retry after another loss.
+constexpr std::uint32_t unrepeatable_divisor = 2;
 
 } // namespace
 
@@ -73,20 +77,57 @@
     return best;
 }
 
-/// Returns the positions of the candidates that accept new flows.
-std::vector<std::size_t>
-accepting(std::span<const placement_candidate> candidates)
+/// Returns true if a candidate on probation has room for the flow.
+/// `unstable_only` is true if there are no other candidates.
+bool accepts_on_probation(
+    const placement_candidate& candidate,
+    const placement_request& request,
+    bool unstable_only)
+{
+    const upstream_load& load = candidate.load;
+    if (!request.is_repeatable && !unstable_only)
+    {
+        const std::uint32_t limit =
+            std::max(1U, load.concurrency / unrepeatable_divisor);
+        return load.in_flight + candidate.unreported_placements < limit;
+    }
+    // One, if the reported load is full but assumed to be outdated.
+    const std::uint32_t free_slots =
+        load.concurrency - std::min(load.in_flight, load.concurrency);
+    return candidate.unreported_placements < std::max(1U, free_slots);
+}
+
+/// Returns the positions of the candidates that accept the flow. Those on
+/// probation are included only if no other accepts it.
+std::vector<std::size_t> accepting(
+    std::span<const placement_candidate> candidates,
+    const placement_request& request)
 {
     std::vector<std::size_t> result;
+    std::vector<std::size_t> on_probation;
     result.reserve(candidates.size());
+    bool unstable_only = true;
     for (std::size_t i = 0; i < candidates.size(); ++i)
     {
+        const bool is_unstable = candidates[i].load.on_probation;
+        unstable_only = unstable_only && is_unstable;
         if (accepts(candidates[i]))
         {
-            result.push_back(i);
+            (is_unstable ? on_probation : result).push_back(i);
         }
     }
-    return result;
+    if (!result.empty())
+    {
+        return result;
+    }
+    std::erase_if(
+        on_probation,
+        [&](std::size_t position)
+        {
+            return !accepts_on_probation(
+                candidates[position], request, unstable_only);
+        });
+    return on_probation;
 }
 
 class least_cost_rule final : public placement_rule
@@ -96,7 +137,7 @@
         std::span<const placement_candidate> candidates,
         const placement_request& request) const override
     {
-        return lowest_cost(accepting(candidates), candidates, request);
+        return lowest_cost(accepting(candidates, request), candidates, request);
     }
 };
 
@@ -112,7 +153,7 @@
         std::span<const placement_candidate> candidates,
         const placement_request& request) const override
     {
-        auto sampled = accepting(candidates);
+        auto sampled = accepting(candidates, request);
         const auto rank = [&](std::size_t position)
         {
             return hash_pair(candidates[position].id.value, request.flow_hash);
@@ -136,7 +177,7 @@
         std::span<const placement_candidate> candidates,
         const placement_request& request) const override
     {
-        const auto all = accepting(candidates);
+        const auto all = accepting(candidates, request);
         std::vector<std::size_t> near;
         for (const std::size_t position : all)
         {
--- a/src/node/companion_node.cpp
+++ b/src/node/companion_node.cpp
@@ -206,6 +206,7 @@
     this->telemetry.set_gauge("in_flight", load.in_flight);
     this->telemetry.set_gauge(
         "upstream_refusal", static_cast<double>(load.refusal));
+    this->telemetry.set_gauge("upstream_on_probation", load.on_probation);
 }
 
 void companion_node::send_to_upstream(byte_view packet)
