Name the query's sequence number in answers

Cause: an entry counts only answers that repeat the number of its query. Change: answers of companions repeat it. Result: covered by the lookups of flow_fleet_test; not run on its own.

--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -203,6 +203,7 @@
     owner_answer result;
     result.flow = query.flow;
     result.answer = this->ownership_of(now, query.flow, query.acknowledged);
+    result.acknowledged = query.acknowledged;
     const auto found = this->owner_hints.find(query.flow);
     if (found != this->owner_hints.end())
     {
