--- a/include/masticslip/flow/upstream_monitor.hpp
+++ b/include/masticslip/flow/upstream_monitor.hpp
@@ -130,6 +130,12 @@
         return this->departed && !this->has_status();
     }
 
+    /// Time of the newest accepted status or packet of the upstream.
+    [[nodiscard]] time_point last_sign_of_life() const
+    {
+        return this->sign_of_life_at;
+    }
+
     /// True if the upstream does not answer packets that were sent to it.
     [[nodiscard]] bool is_silent(time_point now) const;
 
