Keep former services of a route for the life of an entry

Cause: they were forgotten 60 s after the change, so that an older flow was reset while a companion of its service could not tell. Change: former_services keeps them for the life of the process, for at most 4,096 routes with 16 services each; beyond a bound no flow of a route that is not recorded is reset. Tests: the open case is moved as it is. a_restarted_companion_of_a_former_service_prevents_no_ reset_for_ever asserted the reset after 61 s that the open case forbids; it is replaced by ..._prevents_a_reset_until_it_can_tell, which asserts no reset while the companion cannot tell and the reset once it can.

--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -21,6 +21,7 @@
 #include "masticslip/flow/flow_event.hpp"
 #include "masticslip/flow/flow_loss.hpp"
 #include "masticslip/flow/flow_placement.hpp"
+#include "masticslip/flow/former_services.hpp"
 #include "masticslip/flow/peer_contact.hpp"
 #include "masticslip/flow/policy_succession.hpp"
 #include "masticslip/flow/waiting_order.hpp"
@@ -211,8 +212,6 @@
     /// It may have routes that the policy in force lacks.
     [[nodiscard]] bool knows_newer_policy() const;
     void compare_policy(instance_id sender, const policy_mark& mark);
-    /// Remembers the services that routes no longer name.
-    void record_former_services(time_point now, const policy& previous);
     void on_packet_without_route(time_point now, const flow_packet& packet);
     void on_opening(time_point now, const flow_packet& packet);
     void place(time_point now, const flow_endpoints& flow, opening& item);
@@ -275,7 +274,6 @@
         time_point now,
         const flow_endpoints& flow,
         const owner_lookup& item) const;
-    void expire_former_services(time_point now);
     /// Services whose companions are queried.
     [[nodiscard]] std::vector<service_id>
     services_of(const flow_endpoints& flow, const owner_lookup& item) const;
@@ -380,9 +378,7 @@
     /// policy in force.
     std::optional<policy_mark> newest_reported_policy;
     time_point first_policy_at;
-    /// Services that the route of a target named within the age limit of flows
-    /// and names no more, with the time of the change.
-    std::map<endpoint, std::map<service_id, time_point>> former_services;
+    former_services former;
     companion_directory directory;
     flow_table<flow_record> flows;
     flow_table<opening> openings;
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -50,46 +50,16 @@
     }
     if (result.contents_changed)
     {
-        this->record_former_services(now, *previous);
+        this->former.record(*previous, this->current_policy());
         this->on_policy_changed(now);
     }
 }
 
-void entry_flow_core::record_former_services(
-    time_point now, const policy& previous)
-{
-    for (const route_definition& route : previous.value().routes)
-    {
-        const route_definition* current =
-            this->current_policy().find_route(route.address);
-        if (current == nullptr || current->service != route.service)
-        {
-            this->former_services[route.address]
-                                 [make_service_id(route.service)] = now;
-        }
-    }
-}
-
-void entry_flow_core::expire_former_services(time_point now)
-{
-    const auto is_expired = [this, now](const auto& item)
-    {
-        return now - item.second > this->settings.flow_age_limit;
-    };
-    for (auto& [target, services] : this->former_services)
-    {
-        std::erase_if(services, is_expired);
-    }
-    std::erase_if(
-        this->former_services,
-        [](const auto& item) { return item.second.empty(); });
-}
-
 void entry_flow_core::on_packet_without_route(
     time_point now, const flow_packet& packet)
 {
     // A policy that is older than the flow lacks its route, too.
-    const bool is_removed = this->former_services.contains(packet.flow.target);
+    const bool is_removed = this->former.contains(packet.flow.target);
     if (is_removed && !packet.is_opening() && this->knows_newer_policy())
     {
         return;
@@ -297,7 +267,6 @@
         this->next_sweep = now + sweep_interval;
         this->expire_flows(now);
         this->remove_stale_members(now);
-        this->expire_former_services(now);
     }
 }
 
--- a/src/flow/entry_lookups.cpp
+++ b/src/flow/entry_lookups.cpp
@@ -131,12 +131,11 @@
     const flow_endpoints& flow, const owner_lookup& item) const
 {
     std::vector<service_id> result{item.service};
-    const auto former = this->former_services.find(flow.target);
-    if (!item.covers_former_services || former == this->former_services.end())
+    if (!item.covers_former_services)
     {
         return result;
     }
-    for (const auto& [service, changed_at] : former->second)
+    for (const service_id service : this->former.of(flow.target))
     {
         if (service != item.service)
         {
@@ -358,7 +357,7 @@
     result.owner = item.owner_status;
     result.is_list_read = this->list_read_at.has_value();
     result.are_all_known =
-        result.is_list_read &&
+        result.is_list_read && this->former.is_complete_for(flow.target) &&
         std::all_of(
             services.begin(), services.end(),
             [this, now](service_id service)
