Let a restarted companion deny flows after the idle limit

Cause: a companion that did not see its upstream's start stayed uncertain for the life of the upstream, so entries held lost flows back for as long.

Change: once the process has run without a suspension for longer than the largest idle limit that was in force since its start, flows from before it are discarded everywhere, and it denies what it has not seen. A packet that was not recorded because the table was full, or that the upstream has not answered when its record expires, restarts this time; such a flow itself is denied only on other evidence.

--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -271,6 +271,16 @@
     answer_of(time_point now, const owner_query& query) const;
     /// True if the upstream may hold flows that this process does not know.
     [[nodiscard]] bool may_hold_unknown_flows(time_point now) const;
+    /// True if it may hold a flow of which this process has only seen packets
+    /// of the caller.
+    [[nodiscard]] bool may_hold_unanswered_flows(time_point now) const;
+    /// True if all flows from before the start of this process have been idle
+    /// for longer than any of them is kept.
+    [[nodiscard]] bool has_outlasted_former_flows(time_point now) const;
+    /// The upstream may hold a flow whose packet at this time was not recorded.
+    void on_untracked_flow(time_point last_packet);
+    /// The idle limit of the policy in force, or the default.
+    [[nodiscard]] duration stated_idle_limit() const;
     void store_hint(time_point now, const owner_hint& hint);
     void expire_hints(time_point now);
     void
@@ -363,6 +373,10 @@
     time_point resumed_at;
     /// Until then the upstream may hold open flows that were evicted here.
     time_point evicted_until;
+    /// Largest idle limit that was in force since the start.
+    duration longest_idle_limit;
+    /// Until then the upstream may hold flows that were not recorded here.
+    time_point untracked_until;
     time_point next_sweep;
     time_point next_hint_sweep;
     /// When the presence check in progress was requested; nullopt: none is.
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -37,7 +37,8 @@
     flow_event_sink& events)
     : settings(std::move(values)), output(output), events(events),
       monitor({this->settings.status_interval}),
-      freeze(freeze_limit, policy_confirmation_timeout)
+      freeze(freeze_limit, policy_confirmation_timeout),
+      longest_idle_limit(this->stated_idle_limit())
 {
 }
 
@@ -67,6 +68,8 @@
         this->monitor.assume_cold();
     }
     this->was_withdrawn = withdrawn;
+    this->longest_idle_limit =
+        std::max(this->longest_idle_limit, this->stated_idle_limit());
     this->emit(
         now, flow_event_kind::policy_in_force, {}, {}, result_code::done);
     this->send_reports(now);
@@ -151,7 +154,7 @@
     const bool is_not_held =
         flow.state == flow_state::absent ||
         (flow.state == flow_state::probing && !flow.accepted &&
-         !this->may_hold_unknown_flows(now)) ||
+         !this->may_hold_unanswered_flows(now)) ||
         (flow.state == flow_state::half_open &&
          !acknowledges(flow, packet.acknowledged) &&
          !this->probe_unanswered_opening(now, flow));
--- a/src/flow/companion_flows.cpp
+++ b/src/flow/companion_flows.cpp
@@ -46,6 +46,7 @@
     {
         // Returning it would deny the flow. An answer of the upstream is
         // recorded; a bounce is not passed on.
+        this->on_untracked_flow(now);
         this->forward_to_upstream(now, packet);
         return;
     }
@@ -105,7 +106,7 @@
 bool companion_flow_core::probe_unanswered_opening(
     time_point now, flow_record& flow)
 {
-    if (flow.accepted || !this->may_hold_unknown_flows(now))
+    if (flow.accepted || !this->may_hold_unanswered_flows(now))
     {
         return false;
     }
@@ -313,6 +314,9 @@
         return unknown;
     }
     const flow_record& record = found->second;
+    const ownership unanswered = this->may_hold_unanswered_flows(now)
+                                     ? ownership::uncertain
+                                     : ownership::absent;
     switch (record.state)
     {
     case flow_state::half_open:
@@ -320,7 +324,7 @@
         {
             // The opening may be a late copy for a flow held since before this
             // process started.
-            return unknown;
+            return unanswered;
         }
         return acknowledges(record, acknowledged) ? ownership::owned
                                                   : ownership::absent;
@@ -332,14 +336,19 @@
     case flow_state::probing:
         break;
     }
-    return unknown;
+    return unanswered;
 }
 
-duration companion_flow_core::idle_limit_of(const flow_record& flow) const
+duration companion_flow_core::stated_idle_limit() const
 {
     const auto stated = this->current_policy().idle_limit();
-    const duration limit =
-        stated.count() == 0 ? duration(default_idle_limit) : duration(stated);
+    return stated.count() == 0 ? duration(default_idle_limit)
+                               : duration(stated);
+}
+
+duration companion_flow_core::idle_limit_of(const flow_record& flow) const
+{
+    const duration limit = this->stated_idle_limit();
     if (flow.state == flow_state::open)
     {
         return limit;
@@ -384,6 +393,13 @@
         {
             this->evicted_until = now + this->idle_limit_of(flow);
         }
+        const bool is_unanswered =
+            !flow.accepted && (flow.state == flow_state::half_open ||
+                               flow.state == flow_state::probing);
+        if (is_unanswered)
+        {
+            this->on_untracked_flow(flow.last_packet);
+        }
         this->set_awaiting_answer(flow, false);
         this->set_state(flow, flow_state::ended);
         this->flows.erase(item++);
--- a/src/flow/companion_presence.cpp
+++ b/src/flow/companion_presence.cpp
@@ -2,6 +2,8 @@
 
 #include "masticslip/flow/companion_flow_core.hpp"
 
+#include <algorithm>
+
 namespace masticslip
 {
 
@@ -94,10 +96,28 @@
 }
 
 bool companion_flow_core::may_hold_unknown_flows(time_point now) const
+{
+    return this->may_hold_unanswered_flows(now) &&
+           !this->has_outlasted_former_flows(now);
+}
+
+bool companion_flow_core::may_hold_unanswered_flows(time_point now) const
 {
     const bool knows_all =
         this->monitor.is_observed_since_start() && now >= this->evicted_until;
     return !knows_all && !this->upstream_is_down();
 }
 
+bool companion_flow_core::has_outlasted_former_flows(time_point now) const
+{
+    return now - this->observing_since > this->longest_idle_limit &&
+           now >= this->untracked_until && now >= this->evicted_until;
+}
+
+void companion_flow_core::on_untracked_flow(time_point last_packet)
+{
+    this->untracked_until =
+        std::max(this->untracked_until, last_packet + this->longest_idle_limit);
+}
+
 } // namespace masticslip
