State the order of reports and the query of answers

Cause: entries could not tell a late report of a former companion, or a late answer for a former flow of the same port, from a present one.

Change: each report has an order of process and number; the process number is the time of day at the start, passed in with the settings. A companion whose order is not above entry_hello::newest_report continues above it. Answers repeat the acknowledgement of their query.

--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -74,6 +74,9 @@
     std::chrono::seconds flow_age_limit{60};
     /// Maximum number of flows; beyond it new flows are refused.
     std::size_t max_flows = 20'000;
+    /// Start time of the process in microseconds since the Unix epoch, which
+    /// orders its reports after those of former processes; zero: not known.
+    std::uint64_t process_number = 0;
 };
 
 /// Not thread-safe; times must not decrease.
@@ -292,6 +295,9 @@
     /// Forgets the stated numbers, which do not count this companion.
     void forget_service_sizes();
     [[nodiscard]] companion_report report(time_point now);
+    /// Continues above the newest order that an entry has accepted from this
+    /// address, if the clock was set back since.
+    void follow_order(const report_order& newest);
     void send_reports(time_point now);
     /// Sends a report to one refused entry for each free slot.
     void notify_waiting_entries(time_point now);
@@ -365,6 +371,8 @@
         std::hash<flow_endpoints>>
         owner_hints;
     std::map<instance_id, known_entry> entries;
+    /// Order of the newest report.
+    report_order order;
     std::uint32_t in_flight = 0;
     std::uint32_t open_flows = 0;
     /// Start of the process, or the end of its last freeze.
--- a/src/flow/companion_admission.cpp
+++ b/src/flow/companion_admission.cpp
@@ -279,9 +279,19 @@
     result.has_left = this->has_left(now);
     result.service_size = this->service_size(now);
     result.is_registration_continuous = this->is_registration_continuous;
+    ++this->order.number;
+    result.order = this->order;
     return result;
 }
 
+void companion_flow_core::follow_order(const report_order& newest)
+{
+    if (newest > this->order)
+    {
+        this->order = {newest.process + 1, 0};
+    }
+}
+
 bool companion_flow_core::has_left(time_point now) const
 {
     // A companion that stops after its upstream has ended does not return.
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -38,6 +38,7 @@
     : settings(std::move(values)), output(output), events(events),
       monitor({this->settings.status_interval}),
       freeze(freeze_limit, policy_confirmation_timeout),
+      order{this->settings.process_number, 0},
       longest_idle_limit(this->stated_idle_limit())
 {
 }
@@ -202,6 +203,7 @@
 {
     owner_answer result;
     result.flow = query.flow;
+    result.acknowledged = query.acknowledged;
     result.answer = this->ownership_of(now, query.flow, query.acknowledged);
     const auto found = this->owner_hints.find(query.flow);
     if (found != this->owner_hints.end())
@@ -240,6 +242,7 @@
 {
     known_entry& entry = this->entries[sender];
     entry.last_hello_at = now;
+    this->follow_order(message.newest_report);
     // Entries do not count a companion that has left.
     if (message.service_size != 0 && !this->has_left(now))
     {
--- a/src/node/companion_node.cpp
+++ b/src/node/companion_node.cpp
@@ -33,6 +33,10 @@
     result.packet_address = settings.packet_address;
     result.status_interval = role.status_interval;
     result.flow_age_limit = settings.flow_age_limit;
+    result.process_number = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count());
     return result;
 }
 
--- a/standins/flow/virtual_flow_fleet.cpp
+++ b/standins/flow/virtual_flow_fleet.cpp
@@ -247,6 +247,8 @@
     settings.failure_domain = domain_name(process.domain);
     settings.packet_address = process.packet_address;
     settings.status_interval = status_interval;
+    settings.process_number = static_cast<std::uint64_t>(
+        this->queue.now().time_since_epoch() / std::chrono::microseconds(1));
     process.last_version = 0;
     process.core = std::make_unique<companion_flow_core>(
         settings, process, process.events);
