Record in a registration since when it is continuous

Cause: a restarted companion took any key that it found for proof that the store had not lost registrations, also one that its former process had written after such a loss.

Change: the value of a key says since when the registration is continuous (3 s after it was written, or since the former one if that was kept) and in which era of the store it was written. A restarted process trusts only a key whose record lies in the past and in this era; otherwise the key counts as new. The record of a removal follows the same rule. No further write is needed, so watches of entries see no more changes than before.

--- a/src/node/member_registration.cpp
+++ b/src/node/member_registration.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -14,6 +15,7 @@
 {
 
 namespace asio = boost::asio;
+namespace json = boost::json;
 
 namespace
 {
@@ -36,6 +38,42 @@
 /// Processes whose registrations were lost together have registered again
 /// within this time: two seconds, and the time until the list is read.
 constexpr std::chrono::seconds recovery_time{3};
+constexpr const char* since_member = "continuous_since";
+constexpr const char* era_member = "era";
+
+/// The wall clock, which outlasts the process, unlike that of node_now().
+std::chrono::milliseconds wall_time()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+}
+
+/// Adds the record of continuity to a JSON object. Other texts are unchanged.
+std::string with_record(
+    const std::string& text, std::chrono::milliseconds since, std::uint64_t era)
+{
+    json::error_code error;
+    json::value root = json::parse(text, error);
+    json::object* object = error ? nullptr : root.if_object();
+    if (object == nullptr)
+    {
+        return text;
+    }
+    (*object)[since_member] = since.count();
+    (*object)[era_member] = era;
+    return json::serialize(root);
+}
+
+/// A whole number of a JSON object; nullopt if it is missing.
+std::optional<std::int64_t>
+number_member(const json::object& object, const char* name)
+{
+    const json::value* found = object.if_contains(name);
+    json::error_code error;
+    const auto number =
+        found == nullptr ? 0 : found->to_number<std::int64_t>(error);
+    return found == nullptr || error ? std::nullopt : std::optional(number);
+}
 
 } // namespace
 
@@ -105,11 +143,13 @@
 asio::awaitable<void> member_registration::deregister()
 {
     this->is_deregistered = true;
-    if (this->lease != 0)
+    if (this->lease != 0 && this->is_continuous())
     {
         // Expires with the lease, like the key.
         const auto recorded = co_await this->store.put(
-            departure_prefix + this->key, {}, this->lease);
+            departure_prefix + this->key,
+            with_record("{}", this->continuous_since, this->lease_era),
+            this->lease);
         this->report_result("record", recorded.status, recorded.reason);
     }
     const auto result = co_await this->store.remove(this->key);
@@ -161,18 +201,39 @@
 
 asio::awaitable<void> member_registration::look_up()
 {
-    const auto is_kept_in_store = co_await this->is_in_store(this->key);
-    this->is_kept = is_kept_in_store.value_or(false);
-    if (is_kept_in_store && !this->is_kept)
+    auto value = co_await this->read_value(this->key);
+    if (value && value->empty())
     {
-        const auto is_departed =
-            co_await this->is_in_store(departure_prefix + this->key);
-        this->is_kept = is_departed.value_or(false);
+        value = co_await this->read_value(departure_prefix + this->key);
     }
+    const auto since = this->proven_since(value.value_or(std::string()));
+    this->is_kept = since.has_value();
+    this->continuous_since = since.value_or(std::chrono::milliseconds{});
 }
 
-asio::awaitable<std::optional<bool>>
-member_registration::is_in_store(std::string searched)
+std::optional<std::chrono::milliseconds>
+member_registration::proven_since(const std::string& text) const
+{
+    json::error_code error;
+    const json::value root = json::parse(text, error);
+    const json::object* object = error ? nullptr : root.if_object();
+    if (object == nullptr)
+    {
+        return std::nullopt;
+    }
+    const auto since = number_member(*object, since_member);
+    const auto era = number_member(*object, era_member);
+    // A restored copy may lack the registrations of others.
+    const bool is_of_this_era =
+        era && static_cast<std::uint64_t>(*era) == this->read_era;
+    const bool is_past = since && *since <= wall_time().count();
+    return is_of_this_era && is_past
+               ? std::optional(std::chrono::milliseconds(*since))
+               : std::nullopt;
+}
+
+asio::awaitable<std::optional<std::string>>
+member_registration::read_value(std::string searched)
 {
     const auto result = co_await this->store.read_range(searched);
     this->report_result("read", result.status, result.reason);
@@ -180,9 +241,12 @@
     {
         co_return std::nullopt;
     }
-    co_return std::any_of(
-        result.value->items.begin(), result.value->items.end(),
+    this->read_era = result.value->position.era;
+    const auto& items = result.value->items;
+    const auto found = std::find_if(
+        items.begin(), items.end(),
         [&searched](const auto& item) { return item.key == searched; });
+    co_return found == items.end() ? std::string() : found->value;
 }
 
 asio::awaitable<bool> member_registration::grant()
@@ -198,6 +262,8 @@
     {
         this->lease = result.value->id;
         this->lease_era = result.value->era;
+        // The store was restored since the key was read.
+        this->is_kept = this->is_kept && this->lease_era == this->read_era;
         this->lease_confirmed_at = asked_at;
         this->is_written = false;
     }
@@ -206,8 +272,15 @@
 
 asio::awaitable<bool> member_registration::write()
 {
-    const auto result =
-        co_await this->store.put(this->key, this->value, this->lease);
+    if (!this->is_kept)
+    {
+        this->continuous_since =
+            wall_time() + std::chrono::milliseconds(recovery_time);
+    }
+    const auto result = co_await this->store.put(
+        this->key,
+        with_record(this->value, this->continuous_since, this->lease_era),
+        this->lease);
     if (result.status == store_status::not_found)
     {
         this->lease = 0;
--- a/src/node/member_registration.hpp
+++ b/src/node/member_registration.hpp
@@ -5,6 +5,10 @@
 /// a restored store may have given its id to another process. While the store
 /// does not respond, calls are retried at a short interval, so that the key is
 /// written soon after the store is available again.
+///
+/// The value records since when the registration is continuous, so that a
+/// restarted process can tell whether the key outlasted its start or was
+/// written after registrations were lost.
 
 #include "masticslip/store/key_value_store.hpp"
 #include "node_clock.hpp"
@@ -32,7 +36,8 @@
         std::chrono::milliseconds min_lease,
         std::function<time_point()> now = node_now);
 
-    /// Starts to register the value and keeps it registered. Call once.
+    /// Starts to register the value, a JSON object, and keeps it registered.
+    /// The members `continuous_since` and `era` are added. Call once.
     void start(std::string value);
 
     /// Call if another process found the key missing. Writes it again soon,
@@ -48,8 +53,8 @@
     /// may have ended.
     [[nodiscard]] bool is_continuous() const;
 
-    /// Removes the key and stops registering it. That it was removed stays on
-    /// record for the lifetime of the lease.
+    /// Removes the key and stops registering it. That it was removed, while it
+    /// was continuous, stays on record for the lifetime of the lease.
     boost::asio::awaitable<void> deregister();
 
 private:
@@ -57,9 +62,14 @@
     /// Reads whether the key outlasted the start of this process, or was
     /// removed by a former process itself.
     boost::asio::awaitable<void> look_up();
-    /// Reads whether the store holds a key; nullopt if the read failed.
-    boost::asio::awaitable<std::optional<bool>>
-    is_in_store(std::string searched);
+    /// Reads a value; empty if the store lacks the key, nullopt if the read
+    /// failed. Stores the position of the read.
+    boost::asio::awaitable<std::optional<std::string>>
+    read_value(std::string searched);
+    /// Since when a value that a former process wrote says that it was
+    /// continuous; nullopt if it does not prove that.
+    [[nodiscard]] std::optional<std::chrono::milliseconds>
+    proven_since(const std::string& text) const;
     boost::asio::awaitable<bool> grant();
     boost::asio::awaitable<bool> write();
     boost::asio::awaitable<bool> renew();
@@ -87,8 +97,13 @@
     std::uint64_t reported_era = 0;
     bool is_written = false;
     /// The key, or the record of its removal, existed when this process
-    /// started, and the key was not lost since.
+    /// started and proves continuity, and the key was not lost since.
     bool is_kept = false;
+    /// Since when the registration is continuous, on the wall clock. Later than
+    /// the present while it is new.
+    std::chrono::milliseconds continuous_since{};
+    /// Era of the store at the last read.
+    std::uint64_t read_era = 0;
     bool is_deregistered = false;
     unsigned failures = 0;
     std::function<time_point()> now;
