Retransmit the last notification of a watch

Cause: the last notification of a watch was sent once. If it was lost, the caller went on to wait for notifications of a watch that had ended.

Change: the notification outlasts its watch until the caller acknowledges or rejects it, at most four retransmissions as for the others, or until the caller starts a new watch with the same token.

--- a/include/masticslip/core/detail/watch_controller.hpp
+++ b/include/masticslip/core/detail/watch_controller.hpp
@@ -5,6 +5,7 @@
 #include "masticslip/core/detail/companion_context.hpp"
 #include "masticslip/core/detail/ownership_controller.hpp"
 
+#include <list>
 #include <map>
 #include <optional>
 #include <vector>
@@ -54,7 +55,8 @@
     bool on_notification(
         time_point now, exchange_id id, const coap_message& notification);
 
-    /// Handles the caller's acknowledgement of a notification. Returns false
+    /// Handles the caller's acknowledgement of a notification, which may be the
+    /// last one of a watch that has ended. Returns false
     /// if no unacknowledged notification has this message id.
     bool on_acknowledgement(const flow_key& flow, std::uint16_t message_id);
 
@@ -104,6 +106,14 @@
 
     void send(time_point now, watch& item);
     void end(time_point now, watch_map::iterator position, result_code code);
+    /// Ends a watch whose last notification was sent. It is retransmitted like
+    /// the others.
+    void end_unacknowledged(
+        time_point now, watch_map::iterator position, result_code code);
+    void retransmit_last(time_point now);
+    /// Stops to retransmit a last notification. Returns false if there is none
+    /// with this message id.
+    bool forget_last(const flow_key& flow, std::uint16_t message_id);
     void cancel_at_upstream(const watch& item);
     void hand_over(time_point now, watch& item);
     watch_map::iterator find(const flow_key& flow, const bytes& token);
@@ -112,6 +122,9 @@
     companion_context& context;
     ownership_controller& ownership;
     watch_map watches;
+    /// Watches that have ended and whose last notification the caller has not
+    /// acknowledged.
+    std::list<watch> ended;
 };
 
 } // namespace masticslip::detail
--- a/src/core/watch_controller.cpp
+++ b/src/core/watch_controller.cpp
@@ -55,6 +55,13 @@
     {
         ++this->ownership.take_ownership(now, start.flow, start.entry).watches;
     }
+    // A last notification of the former watch would end this one.
+    this->ended.remove_if(
+        [&start](const watch& item)
+        {
+            return item.origin.flow == start.flow &&
+                   item.origin.request.token == start.request.token;
+        });
     start.observe = (start.observe + 1) & observe_mask;
     this->context.report(now, event_kind::watch_started, start.flow);
     const std::uint32_t observe = start.observe;
@@ -98,7 +105,7 @@
     this->send(now, item);
     if (final)
     {
-        this->end(now, position, result_code::done);
+        this->end_unacknowledged(now, position, result_code::done);
     }
     return true;
 }
@@ -109,7 +116,7 @@
     const auto position = this->find(flow, message_id);
     if (position == this->watches.end())
     {
-        return false;
+        return this->forget_last(flow, message_id);
     }
     position->second.unacknowledged.reset();
     return true;
@@ -121,7 +128,7 @@
     const auto position = this->find(flow, message_id);
     if (position == this->watches.end())
     {
-        return false;
+        return this->forget_last(flow, message_id);
     }
     this->cancel_at_upstream(position->second);
     this->end(now, position, result_code::done);
@@ -141,6 +148,7 @@
 
 void watch_controller::on_tick(time_point now)
 {
+    this->retransmit_last(now);
     const bool leaving =
         this->context.stopping || this->context.upstream.draining;
     for (auto position = this->watches.begin();
@@ -186,7 +194,7 @@
         item.attempts = 0;
         this->send(now, item);
         this->cancel_at_upstream(item);
-        this->end(now, position, code);
+        this->end_unacknowledged(now, position, code);
     }
 }
 
@@ -259,6 +267,41 @@
     this->context.report(now, event_kind::watch_ended, flow, code);
 }
 
+void watch_controller::end_unacknowledged(
+    time_point now, watch_map::iterator position, result_code code)
+{
+    this->ended.push_back(position->second);
+    this->end(now, position, code);
+}
+
+void watch_controller::retransmit_last(time_point now)
+{
+    for (auto item = this->ended.begin(); item != this->ended.end();)
+    {
+        if (now >= item->retransmit_at && item->attempts > max_retransmissions)
+        {
+            item = this->ended.erase(item);
+            continue;
+        }
+        if (now >= item->retransmit_at)
+        {
+            this->send(now, *item);
+        }
+        ++item;
+    }
+}
+
+bool watch_controller::forget_last(
+    const flow_key& flow, std::uint16_t message_id)
+{
+    return this->ended.remove_if(
+               [&](const watch& item)
+               {
+                   return item.origin.flow == flow &&
+                          item.unacknowledged->message_id == message_id;
+               }) != 0;
+}
+
 void watch_controller::cancel_at_upstream(const watch& item)
 {
     coap_message cancel = item.origin.request;
--- a/src/core/watch_controller_test.cpp
+++ b/src/core/watch_controller_test.cpp
@@ -127,4 +127,55 @@
     BOOST_TEST(this->last_id() == id);
 }
 
+// Without a bound the companion would send to a caller that has gone for the
+// life of the process.
+BOOST_FIXTURE_TEST_CASE(
+    a_final_notification_is_retransmitted_at_most_four_times, watch_fixture)
+{
+    coap_message final;
+    final.code = coap_code::not_found;
+    this->watches.on_notification(this->start, 1, final);
+    this->watches.on_acknowledgement(this->flow, this->last_id() - 1);
+    const std::size_t sent = this->output.replies.size();
+    for (auto now = 1s; now <= 300s; now += 1s)
+    {
+        this->watches.on_tick(this->start + now);
+    }
+    BOOST_TEST(this->output.replies.size() == sent + 4);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    an_acknowledged_final_notification_is_not_retransmitted, watch_fixture)
+{
+    coap_message final;
+    final.code = coap_code::not_found;
+    this->watches.on_notification(this->start, 1, final);
+    this->watches.on_acknowledgement(this->flow, this->last_id() - 1);
+    BOOST_TEST(this->watches.on_acknowledgement(this->flow, this->last_id()));
+    const std::size_t sent = this->output.replies.size();
+    this->watches.on_tick(this->start + 3s);
+    BOOST_TEST(this->output.replies.size() == sent);
+}
+
+// The caller has registered again: a late copy of the former watch's last
+// notification would end the new one.
+BOOST_FIXTURE_TEST_CASE(
+    a_new_watch_ends_the_final_notification_of_the_former_one, watch_fixture)
+{
+    coap_message final;
+    final.code = coap_code::not_found;
+    this->watches.on_notification(this->start, 1, final);
+    this->watches.on_acknowledgement(this->flow, this->last_id() - 1);
+    watch_registration again;
+    again.id = 3;
+    again.flow = this->flow;
+    again.entry = this->entry;
+    again.request.code = coap_code::get;
+    again.request.token = {1};
+    this->watches.start(this->start + 1s, again);
+    const std::size_t sent = this->output.replies.size();
+    this->watches.on_tick(this->start + 3s);
+    BOOST_TEST(this->output.replies.size() == sent);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
