--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -75,6 +75,9 @@
     std::chrono::seconds flow_age_limit{60};
     /// Maximum number of flows; beyond it new flows are refused.
     std::size_t max_flows = 20'000;
+    /// Start time of the process in microseconds since the Unix epoch, which
+    /// orders its reports after those of former processes; zero: not known.
+    std::uint64_t process_number = 0;
 };
 
 /// Not thread-safe; times must not decrease.
@@ -272,6 +275,16 @@
     answer_of(time_point now, const owner_query& query) const;
     /// True if the upstream may hold flows that this process does not know.
     [[nodiscard]] bool may_hold_unknown_flows(time_point now) const;
+    /// True if it may hold a flow of which this process has only seen packets
+    /// of the caller.
+    [[nodiscard]] bool may_hold_unanswered_flows(time_point now) const;
+    /// True if all flows from before the start of this process have been idle
+    /// for longer than any of them is kept.
+    [[nodiscard]] bool has_outlasted_former_flows(time_point now) const;
+    /// The upstream may hold a flow whose packet at this time was not recorded.
+    void on_untracked_flow(time_point last_packet);
+    /// The idle limit of the policy in force, or the default.
+    [[nodiscard]] duration stated_idle_limit() const;
     void store_hint(time_point now, const owner_hint& hint);
     void expire_hints(time_point now);
     void
@@ -283,6 +296,9 @@
     /// Forgets the stated numbers, which do not count this companion.
     void forget_service_sizes();
     [[nodiscard]] companion_report report(time_point now);
+    /// Continues above the newest order that an entry has accepted from this
+    /// address, if the clock was set back since.
+    void follow_order(const report_order& newest);
     void send_reports(time_point now);
     /// Counts silences as losses, and reports changes of the probation.
     void watch_stability(time_point now);
@@ -362,6 +378,8 @@
         std::hash<flow_endpoints>>
         owner_hints;
     std::map<instance_id, known_entry> entries;
+    /// Order of the newest report.
+    report_order order;
     std::uint32_t in_flight = 0;
     std::uint32_t open_flows = 0;
     /// Start of the process, or the end of its last freeze.
@@ -370,6 +388,10 @@
     time_point resumed_at;
     /// Until then the upstream may hold open flows that were evicted here.
     time_point evicted_until;
+    /// Largest idle limit that was in force since the start.
+    duration longest_idle_limit;
+    /// Until then the upstream may hold flows that were not recorded here.
+    time_point untracked_until;
     time_point next_sweep;
     time_point next_hint_sweep;
     /// When the presence check in progress was requested; nullopt: none is.
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -37,7 +37,9 @@
     flow_event_sink& events)
     : settings(std::move(values)), output(output), events(events),
       monitor({this->settings.status_interval}),
-      freeze(freeze_limit, policy_confirmation_timeout)
+      freeze(freeze_limit, policy_confirmation_timeout),
+      order{this->settings.process_number, 0},
+      longest_idle_limit(this->stated_idle_limit())
 {
 }
 
@@ -67,6 +69,8 @@
         this->monitor.assume_cold();
     }
     this->was_withdrawn = withdrawn;
+    this->longest_idle_limit =
+        std::max(this->longest_idle_limit, this->stated_idle_limit());
     this->emit(
         now, flow_event_kind::policy_in_force, {}, {}, result_code::done);
     this->send_reports(now);
@@ -154,7 +158,7 @@
     const bool is_not_held =
         flow.state == flow_state::absent ||
         (flow.state == flow_state::probing && !flow.accepted &&
-         !this->may_hold_unknown_flows(now)) ||
+         !this->may_hold_unanswered_flows(now)) ||
         (flow.state == flow_state::half_open &&
          !acknowledges(flow, packet.acknowledged) &&
          !this->probe_unanswered_opening(now, flow));
@@ -202,6 +206,7 @@
 {
     owner_answer result;
     result.flow = query.flow;
+    result.acknowledged = query.acknowledged;
     result.answer = this->ownership_of(now, query.flow, query.acknowledged);
     result.acknowledged = query.acknowledged;
     const auto found = this->owner_hints.find(query.flow);
@@ -241,6 +246,7 @@
 {
     known_entry& entry = this->entries[sender];
     entry.last_hello_at = now;
+    this->follow_order(message.newest_report);
     // Entries do not count a companion that has left.
     if (message.service_size != 0 && !this->has_left(now))
     {
