Measure at the companion how long its upstream works on a request

Cause: upstreams of one service differ in speed by more than two and their status does not tell, so neither the pace of admission nor an estimate of the wait has a basis. Change: service_time takes the time from a request's last new byte to the first byte of its answer, without the time in the upstream's queue, and keeps the median of the newest 31 of an incarnation. Loads carry it with the number of samples and the requests answered in the last second. No decision uses it yet.

--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -23,6 +23,7 @@
 #include "masticslip/flow/flow_event.hpp"
 #include "masticslip/flow/opening_backoff.hpp"
 #include "masticslip/flow/policy_succession.hpp"
+#include "masticslip/flow/service_time.hpp"
 #include "masticslip/flow/upstream_monitor.hpp"
 #include "masticslip/flow/upstream_stability.hpp"
 
@@ -181,6 +182,10 @@
         std::uint32_t caller_sequence = 0;
         time_point created;
         time_point last_packet;
+        /// When the last new byte of a request was forwarded, and the requests
+        /// in progress then.
+        time_point request_at;
+        std::uint32_t requests_in_progress = 0;
         /// An opening with another sequence number that was forwarded while
         /// this flow was established.
         std::optional<unconfirmed_opening> next;
@@ -255,6 +260,10 @@
     void
     on_accepted(time_point now, flow_record& flow, const flow_packet& packet);
     void on_upstream_data(flow_record& flow, const flow_packet& packet);
+    /// Measures a request between its last new byte and its answer. The time is
+    /// that of the flow's last packet.
+    void on_request(flow_record& flow) const;
+    void on_answer(const flow_record& flow, const flow_packet& packet);
     void set_awaiting_answer(flow_record& flow, bool value);
     void set_state(flow_record& flow, flow_state state);
     [[nodiscard]] ownership ownership_of(
@@ -333,6 +342,7 @@
     policy_succession policies;
     upstream_monitor monitor;
     upstream_stability stability;
+    service_time request_times;
     cold_start_limit cold_limit;
     opening_backoff backoff;
     capacity_waiters waiters;
--- a/src/flow/companion_admission.cpp
+++ b/src/flow/companion_admission.cpp
@@ -2,6 +2,8 @@
 
 #include "masticslip/flow/companion_flow_core.hpp"
 
+#include "masticslip/flow/detail/sequence_window.hpp"
+
 #include <algorithm>
 
 namespace masticslip
@@ -236,6 +238,9 @@
     result.refusal = this->monitor.refusal(now);
     result.is_cold = this->monitor.is_cold(now);
     result.on_probation = this->stability.is_on_probation(now);
+    result.request_time = this->request_times.median();
+    result.request_samples = this->request_times.samples();
+    result.finished_per_second = this->request_times.finished_per_second(now);
     if (result.is_cold)
     {
         const auto* service = this->current_policy().find_service(
@@ -320,6 +325,33 @@
     this->send_reports(now);
 }
 
+void companion_flow_core::on_request(flow_record& flow) const
+{
+    flow.request_at = flow.last_packet;
+    flow.requests_in_progress = this->in_flight;
+}
+
+void companion_flow_core::on_answer(
+    const flow_record& flow, const flow_packet& packet)
+{
+    // A retransmitted packet of an earlier answer does not answer the request.
+    const bool is_new =
+        !flow.accepted ||
+        detail::sequence_distance(flow.upstream_sequence, packet.sequence) >= 0;
+    if (packet.payload_size == 0 || !is_new || !flow.awaits_answer ||
+        flow.is_reserved || flow.request_at == time_point{})
+    {
+        return;
+    }
+    const upstream_status* status = this->monitor.status();
+    answered_request request;
+    request.started = flow.request_at;
+    request.elapsed = flow.last_packet - flow.request_at;
+    request.in_progress = flow.requests_in_progress;
+    request.slots = status == nullptr ? 1 : std::max(1U, status->concurrency);
+    this->request_times.on_answered(flow.last_packet, request);
+}
+
 companion_report companion_flow_core::report(time_point now)
 {
     companion_report result;
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -98,6 +98,7 @@
         now, status, this->open_flows + this->in_flight != 0);
     if (is_restart)
     {
+        this->request_times.clear();
         this->backoff.clear();
         // The former incarnation will not answer any more.
         for (auto& item : this->flows)
--- a/src/flow/companion_flows.cpp
+++ b/src/flow/companion_flows.cpp
@@ -137,6 +137,7 @@
     {
         flow.is_reserved = false;
         this->set_awaiting_answer(flow, true);
+        this->on_request(flow);
     }
 }
 
@@ -211,6 +212,7 @@
                 flow.entry, owner_answer{packet.flow, ownership::owned});
         }
     }
+    this->on_answer(flow, packet);
     flow.accepted = true;
     flow.upstream_sequence = packet.sequence;
     flow.upstream_closed = flow.upstream_closed || packet.flags.closes;
