Add `masticslip config check`

Cause: an operator learned of a faulty configuration from `config apply`, one error at a time, and of its effect on open flows from the traffic. Change: `config check FILE [--against FILE] [--json]` prints errors, warnings and changes with line, column and path. Its exit codes are those of the other commands. docs/CONFIGURATION_CHECK.md has a worked example; a test keeps its list of kinds equal to the code. store_fixture of cli_test moved to tests/support, so that the tests of this command share it.

--- a/src/cli/cli_settings.cpp
+++ b/src/cli/cli_settings.cpp
@@ -27,8 +27,9 @@
 setting_table make_cli_settings_table()
 {
     setting_table table(
-        "masticslip NOUN [VERB] [ARGUMENT]: config show|apply FILE|diff "
-        "FILE|settle ID GENERATION; preset list|use NAME; domain list|out "
+        "masticslip NOUN [VERB] [ARGUMENT]: config show|apply FILE|check "
+        "FILE|diff FILE|settle ID GENERATION; preset list|use NAME; domain "
+        "list|out "
         "NAME|in NAME; status; upstreams; flows; audit [verify]; "
         "story flow ID FILE...|policy NUMBER FILE...",
         version_text,
@@ -40,6 +41,10 @@
           name_value()},
          {"reason", "Why the change is made; required for changes", "",
           any_value()},
+         {"against",
+          "File with the version in force for `config check`; default: the "
+          "store's",
+          "", any_value()},
          {"timeout-ms", "Longest time to wait", "6000",
           number_value(1, max_timeout)}});
     table.add_switch("json", "Print JSON");
@@ -66,6 +71,7 @@
         result.operator_name = login != nullptr ? login : "unknown";
     }
     result.reason = values->get("reason");
+    result.against = values->get("against");
     result.timeout =
         std::chrono::milliseconds(std::stoul(values->get("timeout-ms")));
     result.json = values->is_set("json");
--- a/src/cli/cli_settings.hpp
+++ b/src/cli/cli_settings.hpp
@@ -19,6 +19,8 @@
     std::vector<endpoint> entries;
     std::string operator_name;
     std::string reason;
+    /// File that holds the version in force; empty: the store holds it.
+    std::string against;
     std::chrono::milliseconds timeout{};
     bool json = false;
     bool wait = false;
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "audit_commands.hpp"
 #include "change_commands.hpp"
+#include "check_command.hpp"
 #include "report_commands.hpp"
 #include "story_commands.hpp"
 
@@ -30,6 +31,7 @@
     static const std::map<std::string, command_entry> table{
         {"config show", {show_configuration, 0}},
         {"config apply", {apply_configuration, 1}},
+        {"config check", {check_configuration_file, 1}},
         {"config diff", {diff_configuration, 1}},
         {"config settle", {settle_change, 2}},
         {"preset list", {list_presets, 0}},
--- a/src/core/configuration_check_test.cpp
+++ b/src/core/configuration_check_test.cpp
@@ -153,7 +153,23 @@
      "\"preset_in_force\": \"calm\"",
      finding_kind::unknown_name,
      "$.preset_in_force",
-     {17, 2}}};
+     {17, 2}},
+    {"\"name\": \"boards\"",
+     "\"name\": \"\"",
+     finding_kind::invalid_value,
+     "$.services[2].name",
+     {5, 4}},
+    {"\"name\": \"peak\"",
+     "\"name\": \"\"",
+     finding_kind::invalid_value,
+     "$.presets[1].name",
+     {16, 4}},
+    // Its value is not reported as an invalid address, too.
+    {"\"address\": \"198.18.0.2:8080\", ",
+     "",
+     finding_kind::missing_key,
+     "$.routes[1].address",
+     {9, 3}}};
 
 const finding_case warning_cases[] = {
     {"\"service\": \"files\"",
@@ -290,6 +306,17 @@
     BOOST_TEST(findings.size() == 3U, list(findings));
 }
 
+BOOST_AUTO_TEST_CASE(an_idle_limit_without_routes_has_no_effect)
+{
+    configuration value = parse(clean_document);
+    value.routes.clear();
+    value.services.erase(value.services.begin(), value.services.begin() + 2);
+    const auto findings = find_contradictions(value);
+    BOOST_REQUIRE_MESSAGE(findings.size() == 1, list(findings));
+    BOOST_TEST((findings.front().kind == finding_kind::without_effect));
+    BOOST_TEST(findings.front().path == "$.flow_idle_limit_ms");
+}
+
 BOOST_AUTO_TEST_CASE(services_with_one_name_are_an_error)
 {
     const auto findings = check_document(
--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -2,9 +2,9 @@
 // and concurrent operators.
 
 #define BOOST_TEST_MODULE cli
-#include "fleet/local_fleet.hpp"
 #include "platform/etcd_client.hpp"
 #include "platform/masticslip_keys.hpp"
+#include "support/store_fixture.hpp"
 
 #include <boost/json.hpp>
 #include <boost/test/data/monomorphic.hpp>
@@ -22,43 +22,10 @@
 
 using namespace masticslip;
 using namespace masticslip::standins;
+using namespace masticslip::testing;
 using namespace std::chrono_literals;
 namespace data = boost::unit_test::data;
 
-std::string program_folder()
-{
-    const auto& suite = boost::unit_test::framework::master_test_suite();
-    return std::filesystem::absolute(suite.argv[0]).parent_path().string();
-}
-
-/// A store that holds the Kigali configuration, with no other process running.
-struct store_fixture
-{
-    store_fixture() : fleet(kigali_shape(), program_folder())
-    {
-        this->fleet.start_store();
-        this->file = this->fleet.work_folder() + "/document.json";
-        std::ofstream(this->file) << this->fleet.document();
-        const bool applied = local_fleet::wait_until(
-            [this]
-            {
-                return this->run({"config", "apply", this->file, "--reason",
-                                  "start"})
-                           .exit_code == 0;
-            },
-            10s);
-        BOOST_REQUIRE(applied);
-    }
-
-    program_result run(std::vector<std::string> arguments)
-    {
-        return this->fleet.run_cli(std::move(arguments));
-    }
-
-    local_fleet fleet;
-    std::string file;
-};
-
 /// The same store with two entries and one companion, which have generations 1
 /// to 3 in force, and a copy of the store from generation 1.
 struct copied_store_fixture : store_fixture
@@ -148,11 +115,6 @@
     }
 };
 
-bool contains(const std::string& text, const std::string& part)
-{
-    return text.find(part) != std::string::npos;
-}
-
 struct command_case
 {
     std::vector<std::string> arguments;
@@ -185,6 +147,8 @@
     {{"config", "settle", "c-1", "many"}, 2, "not a generation"},
     {{"config", "settle", "c-1", "1"}, 4, "generation 1 is change"},
     {{"config", "settle", "c-1", "9"}, 6, "not written yet"},
+    {{"config", "check"}, 2, "takes 1 argument"},
+    {{"config", "check", "/nowhere"}, 1, "cannot read /nowhere"},
     {{"status"}, 1, "no entry answers"}};
 
 } // namespace
@@ -232,6 +196,7 @@
           {"domain", "list", "--json"},
           {"audit", "--json"},
           {"config", "show"},
+          {"config", "check", store.file, "--json"},
           {"preset", "use", "peak", "--reason", "x", "--json"}})
     {
         const auto result = store.run(words);
--- a/tests/docs_test.cpp
+++ b/tests/docs_test.cpp
@@ -3,6 +3,7 @@
 
 #include "cli_settings.hpp"
 #include "daemon_settings.hpp"
+#include "masticslip/core/configuration_finding.hpp"
 #include "masticslip/core/result_code.hpp"
 #include "node/node_flags.hpp"
 
@@ -65,4 +66,16 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(configuration_check_page_names_every_kind)
+{
+    const std::string page = read_file(docs_folder + "CONFIGURATION_CHECK.md");
+    for (std::size_t i = 0; i < finding_kind_count; ++i)
+    {
+        const std::string row =
+            "| `" + std::string(to_string(static_cast<finding_kind>(i))) +
+            "` |";
+        BOOST_TEST(page.find(row) != std::string::npos, row);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
