Stop counting a companion in the hello after its departure

Cause: the number that hellos state was adjusted only on the next tick, so that a hello right after a departure still counted the companion, and resets waited for the one after it. Change: the number is updated with the report of a departure, as with that of a return.

--- a/src/flow/entry_members.cpp
+++ b/src/flow/entry_members.cpp
@@ -139,7 +139,7 @@
     const bool is_new = this->directory.on_report(now, sender, message);
     this->has_received_report = true;
     this->retry_waiting_openings(now, message.load);
-    if (is_new || had_left)
+    if (is_new || had_left != message.has_left)
     {
         this->update_stated_sizes(now);
     }
--- a/tests/flow/entry_evidence_test.cpp
+++ b/tests/flow/entry_evidence_test.cpp
@@ -136,6 +136,24 @@
     BOOST_TEST(output.resets.empty());
 }
 
+// A number that counts a departed companion prevents resets until all
+// companions of its service have been told a lower one.
+BOOST_FIXTURE_TEST_CASE(
+    the_first_hello_after_a_departure_states_a_lower_number, entry_fixture)
+{
+    make_ready(2);
+    core.on_tick(at(250ms));
+    output.sent.clear();
+    core.on_message(at(251ms), companion(2), gone_report(2));
+    core.on_policy(at(252ms), test_policy(8));
+    const auto hellos = messages_of<entry_hello>(output.sent);
+    BOOST_REQUIRE(!hellos.empty());
+    for (const entry_hello& hello : hellos)
+    {
+        BOOST_TEST(hello.service_size == 1U);
+    }
+}
+
 // A number is forgotten after 5 s. In a large fleet an entry greets a companion
 // less often, and the companion may report on its own in between.
 BOOST_FIXTURE_TEST_CASE(
