--- a/src/flow/entry_lookups.cpp
+++ b/src/flow/entry_lookups.cpp
@@ -166,10 +166,6 @@
 void entry_flow_core::on_answer(
     time_point now, instance_id sender, const owner_answer& message)
 {
-    if (message.answer == ownership::owned)
-    {
-        this->confirm_owner(sender, message);
-    }
     const auto found = this->lookups.find(message.flow);
     // An answer that was not asked for names no sequence number: a late one may
     // be about a former flow of the port. The lookup asks its sender anyway.
@@ -177,17 +173,20 @@
         found != this->lookups.end() && message.acknowledged != 0 &&
         detail::is_within_window(
             found->second.acknowledged, message.acknowledged);
-    if (!is_answer_to_lookup)
+    if (message.answer == ownership::owned)
     {
+        if (is_answer_to_lookup)
+        {
+            this->assign_owner(now, message.flow, sender, true);
+        }
+        this->confirm_owner(sender, message);
         return;
     }
-    owner_lookup& item = found->second;
-    if (message.answer == ownership::owned)
+    if (!is_answer_to_lookup)
     {
-        this->assign_owner(now, message.flow, sender, true);
-        this->flows[message.flow].is_evident = true;
         return;
     }
+    owner_lookup& item = found->second;
     const bool has_hint = message.owner.value != 0 &&
                           !contains(item.absent, message.owner) &&
                           !this->directory.is_gone(message.owner);
--- a/tests/flow/entry_owner_evidence_test.cpp
+++ b/tests/flow/entry_owner_evidence_test.cpp
@@ -122,6 +122,17 @@
     BOOST_TEST(output.resets.size() == 1U);
 }
 
+// Guard: an answer of a companion that is not known leaves no record behind.
+BOOST_FIXTURE_TEST_CASE(
+    an_answer_of_an_unknown_companion_makes_it_no_owner, entry_fixture)
+{
+    make_ready(1);
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'001, 2));
+    core.on_message(
+        at(2ms), companion(9), answer_to(test_flow(1), ownership::owned));
+    BOOST_TEST(core.flow_count() == 0U);
+}
+
 // The owner is known to have departed: the packets of its flow belong to no
 // upstream of a companion that cannot tell.
 BOOST_FIXTURE_TEST_CASE(
