--- a/tests/flow/entry_owner_evidence_test.cpp
+++ b/tests/flow/entry_owner_evidence_test.cpp
@@ -28,6 +28,21 @@
     }
 };
 
+/// Keeps the detail of the last event that has one.
+class detail_sink final : public flow_event_sink
+{
+public:
+    void on_event(time_point, const flow_event& event) override
+    {
+        if (!event.detail.empty())
+        {
+            this->detail = event.detail;
+        }
+    }
+
+    std::string detail;
+};
+
 } // namespace
 
 // Companions 1 and 2 accepted copies of the opening, and the caller continued
@@ -149,4 +164,22 @@
     BOOST_TEST(output.resets.size() == 1U);
 }
 
+// An operator has to see why the caller of a lost flow waits.
+BOOST_AUTO_TEST_CASE(the_reason_against_a_reset_is_part_of_the_event)
+{
+    recording_entry_output output;
+    detail_sink events;
+    entry_flow_core core({"kgl-nyr", 1'000}, output, events);
+    core.on_policy(at(0ms), test_policy(7));
+    core.on_message(at(0ms), companion(1), sized_report(1, 2));
+    core.on_list_read(at(0ms));
+    core.on_caller_packet(at(1ms), data_packet(test_flow(1), 1'001, 2));
+    core.on_message(
+        at(2ms), companion(1), answer_to(test_flow(1), ownership::absent));
+    BOOST_TEST(output.resets.empty());
+    BOOST_TEST(
+        events.detail.find(" kept=not_all_companions_known ") !=
+        std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
