Follow only valid acknowledgements of a flow's caller

Cause: a copy of an opening packet, whose acknowledgement field holds the number of copies, could move the number by which a departed owner is recognised. Change: packets without a valid acknowledgement are ignored there.

--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -152,7 +152,8 @@
         return;
     }
     flow.last_packet = now;
-    if (detail::is_within_window(flow.acknowledged, packet.acknowledged))
+    if (packet.flags.acknowledges &&
+        detail::is_within_window(flow.acknowledged, packet.acknowledged))
     {
         flow.acknowledged = packet.acknowledged;
     }
