Share free places among routes by weight and among callers in turn

Cause: waiting openings went by strict priority, so that a lower route got nothing while a higher one was short, and a caller that opened fifty flows at once went before fifty callers that opened one.

Change: opening_share orders the waiting openings of a service. Each step of priority doubles the weight of a route, and each route that waits gets at least a tenth; an idle share is used by the others at once and not saved up. Within a route a caller address gets a second place after every other waiting address has had one. sort_waiting only orders the openings of one route and round. Where openings cannot all be served, those of the last round go first.

--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -20,10 +20,10 @@
 #include "masticslip/flow/companion_directory.hpp"
 #include "masticslip/flow/flow_event.hpp"
 #include "masticslip/flow/flow_placement.hpp"
+#include "masticslip/flow/opening_share.hpp"
 #include "masticslip/flow/peer_contact.hpp"
 #include "masticslip/flow/policy_succession.hpp"
 #include "masticslip/flow/wait_estimate.hpp"
-#include "masticslip/flow/waiting_order.hpp"
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
@@ -197,6 +197,7 @@
         service_rate rate;
         /// Time of the estimate; zero if there is none.
         time_point rate_estimated_at;
+        opening_share share;
         /// Of the routes with waiting openings.
         std::map<endpoint, pace_meter> meters;
     };
--- a/include/masticslip/flow/wait_estimate.hpp
+++ b/include/masticslip/flow/wait_estimate.hpp
@@ -139,6 +139,9 @@
     remaining_wait remaining;
     /// Until newer openings of its route go first (see waiting_order.hpp).
     duration until_late{};
+    /// Number of its place among those of its caller address (see
+    /// opening_share.hpp).
+    std::uint64_t round = 0;
     /// Rises with each opening that arrives at the entry.
     std::uint64_t arrival = 0;
     /// False if the flow may have been opened: a reset could end it.
@@ -161,9 +164,9 @@
 /// Selects the openings of one service that are refused, of those in `order`,
 /// the order of placement. The wait of an opening is that of all ahead of it at
 /// the service's rate, or of those of its route at the route's own pace, if
-/// that is longer. Where one would wait too long, the newest of its route is
-/// refused instead if that makes room for it: the newest has not been held yet.
-/// Thread-safe.
+/// that is longer. Where one would wait too long, the newest of its route's
+/// last round is refused instead if that makes room for it: the newest has not
+/// been held yet. Thread-safe.
 std::vector<wait_refusal> select_refusals(
     std::span<const queued_opening> order, const service_pace& pace);
 
--- a/src/flow/entry_waiting.cpp
+++ b/src/flow/entry_waiting.cpp
@@ -186,7 +186,7 @@
     for (auto& [service, waiting] : this->waiting_openings())
     {
         this->count_waiting(now, service, waiting);
-        sort_waiting(
+        this->waiting_services[service].share.sort(
             now + this->current_rate(now, service).request_time, waiting);
         this->place_in_order(now, service, waiting);
         this->refuse_long_waits(now, service, waiting);
@@ -202,23 +202,23 @@
     service_id service,
     const std::vector<waiting_opening>& openings)
 {
-    std::map<endpoint, pace_meter>& meters =
-        this->waiting_services[service].meters;
+    waiting_service& state = this->waiting_services[service];
     std::map<endpoint, pace_meter> present;
     for (const waiting_opening& waiting : openings)
     {
         const endpoint& route = waiting.flow.target;
-        const auto former = meters.find(route);
+        const auto former = state.meters.find(route);
         pace_meter& meter =
             present
                 .try_emplace(
-                    route,
-                    former == meters.end() ? pace_meter(now) : former->second)
+                    route, former == state.meters.end() ? pace_meter(now)
+                                                        : former->second)
                 .first->second;
         opening& item = this->openings[waiting.flow];
         if (item.has_place)
         {
             meter.on_returned();
+            state.share.on_returned(waiting.flow);
         }
         else if (!item.has_arrived)
         {
@@ -227,7 +227,7 @@
         item.has_arrived = true;
         item.has_place = false;
     }
-    meters = std::move(present);
+    state.meters = std::move(present);
 }
 
 void entry_flow_core::place_in_order(
@@ -266,6 +266,7 @@
     {
         return;
     }
+    found->second.share.on_placed(flow);
     const auto meter = found->second.meters.find(flow.target);
     if (meter != found->second.meters.end())
     {
@@ -328,6 +329,7 @@
         waiting.target_latency.count() == 0
             ? duration::max()
             : item.first_seen + waiting.target_latency - request_time - now;
+    result.round = waiting.round;
     result.arrival = item.arrival;
     result.is_refusable = item.was_never_opened();
     return result;
--- a/src/flow/wait_estimate.cpp
+++ b/src/flow/wait_estimate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace masticslip
 {
@@ -230,20 +231,27 @@
                    : longest_wait;
     }
 
-    /// The newest refusable opening of the last one's route that is not older
-    /// than it, or the end of `kept`.
-    [[nodiscard]] std::vector<std::size_t>::iterator newest_of_route()
+    /// True if an opening is refused before another one of its route.
+    static bool
+    goes_first(const queued_opening& item, const queued_opening& other)
+    {
+        return std::tie(item.round, item.arrival) >
+               std::tie(other.round, other.arrival);
+    }
+
+    /// The opening of the last one's route that is refused first, or the end of
+    /// `kept`. The last one goes before those of earlier rounds and older ones.
+    [[nodiscard]] std::vector<std::size_t>::iterator first_to_refuse()
     {
         auto result = this->kept.end();
         for (auto item = this->kept.begin(); item != this->kept.end(); ++item)
         {
             const queued_opening& candidate = this->order[*item];
-            const bool is_newest =
-                result == this->kept.end() ||
-                candidate.arrival > this->order[*result].arrival;
+            const bool is_first = result == this->kept.end() ||
+                                  goes_first(candidate, this->order[*result]);
             if (candidate.route == this->last().route &&
                 candidate.is_refusable &&
-                candidate.arrival >= this->last().arrival && is_newest)
+                !goes_first(this->last(), candidate) && is_first)
             {
                 result = item;
             }
@@ -254,7 +262,7 @@
     void refuse_for_last(const expected_wait& wait)
     {
         const auto own = this->kept.end() - 1;
-        auto refused = this->newest_of_route();
+        auto refused = this->first_to_refuse();
         if (refused != this->kept.end() && refused != own &&
             this->is_too_long(this->wait_of_last(1)))
         {
--- a/src/flow/waiting_order.cpp
+++ b/src/flow/waiting_order.cpp
@@ -14,8 +14,7 @@
         const time_point target_end = item.first_seen + item.target_latency;
         const bool is_late = target_end <= answer_time;
         return std::make_tuple(
-            item.priority, is_late, is_late ? item.first_seen : target_end,
-            item.arrival);
+            is_late, is_late ? item.first_seen : target_end, item.arrival);
     };
     std::sort(
         openings.begin(), openings.end(),
