Place waiting openings only as far as a companion has room

Cause: a companion that reports one free place got all waiting openings of the entry, since a load without a refusal has no number of places. It refused all but one. Meanwhile they did not wait, so that neither their order nor the refusal of long waits applied, and each cost packets.

Change: an opening that waits is placed at a companion while the entry has placed fewer there, since the last load, than four requests in flight per slot leave room for. That is the most that companions admit; a load with room has at least one place. Openings that do not wait are placed as before.

The new case of entry_waiting fails without the change (10 and more packets by reading, not run).

--- a/src/flow/entry_openings.cpp
+++ b/src/flow/entry_openings.cpp
@@ -42,6 +42,10 @@
 constexpr std::chrono::milliseconds min_full_load_validity{50};
 constexpr std::chrono::milliseconds max_full_load_validity{400};
 
+/// Requests in flight per slot up to which companions admit flows at most
+/// (companion_admission.cpp).
+constexpr std::uint32_t in_flight_per_slot = 4;
+
 /// Assumes capacity for one flow at a companion whose full load is outdated.
 void assume_capacity(placement_candidate& candidate)
 {
@@ -57,6 +61,13 @@
     load.cold_capacity = std::max(load.cold_capacity, 1U);
 }
 
+/// Places at a companion for openings that wait, according to its load.
+std::uint32_t free_places(const upstream_load& load)
+{
+    const std::uint32_t limit = load.concurrency * in_flight_per_slot;
+    return std::max(1U, limit - std::min(limit, load.in_flight));
+}
+
 /// Reason why no candidate takes a flow: a full one, which may soon have room,
 /// rather than one that takes none. `otherwise` if there are no candidates.
 result_code common_refusal(
@@ -155,6 +166,11 @@
         {
             assume_capacity(candidate);
         }
+        if (item.is_waiting && candidate.load.refusal == result_code::done &&
+            candidate.unreported_placements >= free_places(candidate.load))
+        {
+            candidate.load.refusal = result_code::not_run_overloaded;
+        }
         result.push_back(candidate);
     }
     return result;
--- a/tests/flow/entry_waiting_test.cpp
+++ b/tests/flow/entry_waiting_test.cpp
@@ -146,6 +146,26 @@
     BOOST_TEST(output.resets.empty());
 }
 
+// Guards against all waiting openings being sent to a companion with one free
+// place, which refuses them: then the order and the refusals do not hold.
+BOOST_FIXTURE_TEST_CASE(
+    waiting_openings_are_placed_as_far_as_a_companion_has_room,
+    full_service_fixture)
+{
+    open(20);
+    companion_report report = full_report(1);
+    report.load.refusal = result_code::done;
+    report.load.in_flight = 11;
+    core.on_message(at(2ms), companion(1), report);
+    core.on_tick(at(2ms));
+    BOOST_TEST(output.packets.size() == 1U);
+
+    report.load.in_flight = 5;
+    core.on_message(at(3ms), companion(1), report);
+    core.on_tick(at(3ms));
+    BOOST_TEST(output.packets.size() == 8U);
+}
+
 BOOST_FIXTURE_TEST_CASE(
     an_opening_is_placed_at_once_while_another_service_is_full,
     full_service_fixture)
