Derive the requests in flight that a companion admits from its upstream's answers

Cause: four requests in flight per slot (two while cold) let a slow upstream queue more than its callers wait for, and fill one that has just returned before it has answered. Change: admission_pace starts at one request per slot after a start, a silence and the return of a failure domain, and rises by one per slot with each round of nine answers that the upstream worked on at its usual speed, to at most four. It halves after a bounced opening and after two rounds that took over half of the service's lowest target latency, and stays below what the upstream answers within 0.8 of the target. This replaces the limit of two per slot of a cold upstream; the policy's cold rate is unchanged. Each change is an event of the companion.

--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -18,6 +18,7 @@
 /// upstream's answers.
 
 #include "masticslip/core/detail/freeze_detector.hpp"
+#include "masticslip/flow/admission_pace.hpp"
 #include "masticslip/flow/capacity_waiters.hpp"
 #include "masticslip/flow/cold_start_limit.hpp"
 #include "masticslip/flow/flow_event.hpp"
@@ -288,6 +289,10 @@
     void send_reports(time_point now);
     /// Counts silences as losses, and reports changes of the probation.
     void watch_stability(time_point now);
+    /// Emits an event if the limit of requests in flight has changed.
+    void report_pace(time_point now);
+    /// Lowest target latency of the service's routes; zero: none is stated.
+    [[nodiscard]] duration fastest_target() const;
     /// Requests in flight at which new flows are refused.
     [[nodiscard]] std::uint32_t
     in_flight_limit(const upstream_load& load) const;
@@ -343,6 +348,7 @@
     upstream_monitor monitor;
     upstream_stability stability;
     service_time request_times;
+    admission_pace pace;
     cold_start_limit cold_limit;
     opening_backoff backoff;
     capacity_waiters waiters;
@@ -371,6 +377,7 @@
     bool was_on_probation = false;
     bool was_silent = false;
     std::uint32_t reported_losses = 0;
+    std::uint32_t reported_limit = 0;
     bool is_registration_continuous = false;
     result_code last_refusal = result_code::not_run_no_upstream;
 };
--- a/src/flow/companion_admission.cpp
+++ b/src/flow/companion_admission.cpp
@@ -16,14 +16,10 @@
 /// data: several round trips to a caller. A caller that sends nothing by then
 /// is pausing or has gone.
 constexpr std::chrono::milliseconds first_request_timeout{50};
-/// Requests in flight per slot of the upstream at which new flows are
-/// refused: the upstream's own queue holds about three times its slots.
-constexpr std::uint32_t in_flight_per_slot = 4;
-/// The same for an upstream on probation: few flows are lost if it goes down
-/// again, and its answers show that it has recovered.
+/// Requests in flight per slot of an upstream on probation at which new flows
+/// are refused: few are lost if it goes down again, and its answers show that
+/// it has recovered.
 constexpr std::uint32_t probation_in_flight_per_slot = 1;
-/// The same for a cold upstream, which works more slowly.
-constexpr std::uint32_t cold_in_flight_per_slot = 2;
 /// Numbers of companions that entries stated are reported for this long: until
 /// entries that were restarted together know all companions again.
 constexpr std::chrono::seconds service_size_retention{5};
@@ -247,9 +243,7 @@
             make_service_id(this->settings.service));
         const double rate =
             service == nullptr ? 0 : service->cold_flows_per_second;
-        const std::uint32_t allowed = std::min(
-            result.concurrency * cold_in_flight_per_slot,
-            this->in_flight_limit(result));
+        const std::uint32_t allowed = this->in_flight_limit(result);
         const std::uint32_t free_slots =
             allowed - std::min(allowed, this->in_flight);
         // A rate of zero means no limit.
@@ -281,8 +275,46 @@
 std::uint32_t
 companion_flow_core::in_flight_limit(const upstream_load& load) const
 {
-    return load.concurrency * (load.on_probation ? probation_in_flight_per_slot
-                                                 : in_flight_per_slot);
+    const std::uint32_t limit = this->pace.limit(load.concurrency);
+    return load.on_probation
+               ? std::min(
+                     limit, load.concurrency * probation_in_flight_per_slot)
+               : limit;
+}
+
+duration companion_flow_core::fastest_target() const
+{
+    duration result{};
+    for (const route_definition& route : this->current_policy().value().routes)
+    {
+        const duration target = route.target_latency;
+        if (route.service == this->settings.service && target.count() != 0 &&
+            (result.count() == 0 || target < result))
+        {
+            result = target;
+        }
+    }
+    return result;
+}
+
+void companion_flow_core::report_pace(time_point now)
+{
+    const upstream_load current = this->load(now);
+    const std::uint32_t limit = this->in_flight_limit(current);
+    if (limit == this->reported_limit || this->monitor.status() == nullptr)
+    {
+        return;
+    }
+    this->reported_limit = limit;
+    const std::string detail =
+        "in_flight_limit=" + std::to_string(limit) + " after=" +
+        std::string(
+            current.on_probation ? "probation"
+                                 : to_string(this->pace.last_change())) +
+        " request_time_us=" + std::to_string(current.request_time.count());
+    this->emit(
+        now, flow_event_kind::upstream_changed, {}, {}, current.refusal,
+        detail);
 }
 
 void companion_flow_core::watch_stability(time_point now)
@@ -294,6 +326,10 @@
         is_silent && this->was_silent &&
         now - this->observing_since > silence_confirmation;
     this->was_silent = is_silent;
+    if (is_confirmed && this->pace.last_change() != pace_change::silence)
+    {
+        this->pace.restart(now, pace_change::silence);
+    }
     if (is_confirmed && this->in_flight != 0)
     {
         this->stability.on_silence(now);
@@ -305,6 +341,7 @@
         // A bounce ends a silence too, but comes from the machine.
         this->stability.on_answer(now);
     }
+    this->report_pace(now);
     const bool on_probation = this->stability.is_on_probation(now);
     if (on_probation == this->was_on_probation &&
         this->stability.loss_count() == this->reported_losses)
@@ -350,6 +387,7 @@
     request.in_progress = flow.requests_in_progress;
     request.slots = status == nullptr ? 1 : std::max(1U, status->concurrency);
     this->request_times.on_answered(flow.last_packet, request);
+    this->pace.on_answered(flow.last_packet, request);
 }
 
 companion_report companion_flow_core::report(time_point now)
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -65,7 +65,9 @@
     if (this->was_withdrawn && !withdrawn)
     {
         this->monitor.assume_cold();
+        this->pace.restart(now, pace_change::returned_domain);
     }
+    this->pace.set_target(this->fastest_target());
     this->was_withdrawn = withdrawn;
     this->emit(
         now, flow_event_kind::policy_in_force, {}, {}, result_code::done);
@@ -99,6 +101,7 @@
     if (is_restart)
     {
         this->request_times.clear();
+        this->pace.restart(now, pace_change::new_incarnation);
         this->backoff.clear();
         // The former incarnation will not answer any more.
         for (auto& item : this->flows)
--- a/src/flow/companion_flows.cpp
+++ b/src/flow/companion_flows.cpp
@@ -245,6 +245,7 @@
     if (packet.is_opening())
     {
         this->backoff.on_bounced(now);
+        this->pace.on_bounced(now, flow.created);
         this->set_awaiting_answer(flow, false);
         this->set_state(flow, flow_state::ended);
         this->flows.erase(found);
--- a/tests/flow/unstable_upstream_fleet_test.cpp
+++ b/tests/flow/unstable_upstream_fleet_test.cpp
@@ -83,4 +83,22 @@
     }
 }
 
+// A limit derived from answers must not turn flows away while there is enough
+// capacity.
+BOOST_DATA_TEST_CASE(
+    no_flow_is_refused_without_a_failure,
+    boost::unit_test::data::make(seeds),
+    seed)
+{
+    virtual_flow_fleet fleet(small_fleet(), seed);
+    fleet.start_load(small_load(0.35), 20s);
+    // Within two seconds of the load upstreams have shown what they sustain.
+    fleet.run(5s);
+    const auto refused = fleet.count(flow_event_kind::flow_refused);
+    fleet.run(18s);
+    BOOST_TEST(fleet.violations().empty());
+    BOOST_TEST(fleet.count(flow_event_kind::flow_refused) == refused);
+    BOOST_TEST(fleet.count(flow_event_kind::flow_rejected) == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
