--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -67,7 +67,9 @@
     if (this->was_withdrawn && !withdrawn)
     {
         this->monitor.assume_cold();
+        this->pace.restart(now, pace_change::returned_domain);
     }
+    this->pace.set_target(this->fastest_target());
     this->was_withdrawn = withdrawn;
     this->longest_idle_limit =
         std::max(this->longest_idle_limit, this->stated_idle_limit());
@@ -103,6 +105,7 @@
     if (is_restart)
     {
         this->request_times.clear();
+        this->pace.restart(now, pace_change::new_incarnation);
         this->backoff.clear();
         // The former incarnation will not answer any more.
         for (auto& item : this->flows)
