Explain stated numbers of companions by those that departed

Change: hellos and reports carry a digest of the counted ids, and a number that differs by companions that departed up to 1.5 s ago is explained exactly. An unknown companion is not.

--- a/include/masticslip/flow/companion_directory.hpp
+++ b/include/masticslip/flow/companion_directory.hpp
@@ -3,6 +3,7 @@
 /// and the load that it reported.
 
 #include "masticslip/flow/flow_messages.hpp"
+#include "masticslip/flow/service_count.hpp"
 
 #include <map>
 #include <string>
@@ -41,8 +42,8 @@
     std::uint32_t unanswered_requests = 0;
     /// Flows placed there since the newest load.
     std::uint32_t unreported_placements = 0;
-    /// Number of companions of its service that it has last reported.
-    std::uint32_t reported_service_size = 0;
+    /// The companions of its service that it has last reported.
+    service_count reported_service;
     /// It has reported such a number since it became known or has returned:
     /// entries count it.
     bool is_counted = false;
@@ -56,6 +57,8 @@
     bool is_listed = false;
     bool is_stopping = false;
     bool has_left = false;
+    /// Time at which it reported that its upstream has left.
+    time_point left_at;
     /// Has sent no load for several hello intervals; receives no new flows.
     bool is_silent = false;
 
--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -24,6 +24,7 @@
 #include "masticslip/flow/flow_event.hpp"
 #include "masticslip/flow/opening_backoff.hpp"
 #include "masticslip/flow/policy_succession.hpp"
+#include "masticslip/flow/service_count.hpp"
 #include "masticslip/flow/service_time.hpp"
 #include "masticslip/flow/upstream_monitor.hpp"
 #include "masticslip/flow/upstream_stability.hpp"
@@ -299,12 +300,12 @@
     void expire_hints(time_point now);
     void
     on_hello(time_point now, instance_id sender, const entry_hello& message);
-    /// Largest number of companions of the service that was stated recently.
-    [[nodiscard]] std::uint32_t service_size(time_point now) const;
+    /// The largest of the counts of the service that were stated recently.
+    [[nodiscard]] service_count largest_service_count(time_point now) const;
     /// True if the upstream has departed permanently, as far as is known.
     [[nodiscard]] bool has_left(time_point now) const;
     /// Forgets the stated numbers, which do not count this companion.
-    void forget_service_sizes();
+    void forget_service_counts();
     [[nodiscard]] companion_report report(time_point now);
     /// Continues above the newest order that an entry has accepted from this
     /// address, if the clock was set back since.
@@ -368,10 +369,10 @@
     {
         time_point last_hello_at;
         time_point last_report_at;
-        /// Number of companions of the service that it stated last, which
-        /// outlasts a restart of the entry.
-        std::uint32_t service_size = 0;
-        time_point service_size_stated_at;
+        /// Companions of the service that it stated last, which outlasts a
+        /// restart of the entry.
+        service_count service;
+        time_point service_stated_at;
     };
 
     companion_flow_settings settings;
--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -403,14 +403,18 @@
     [[nodiscard]] bool is_settled(time_point now) const;
     /// Call before a new or returned companion is sent a hello: the number that
     /// it is told must count it.
-    void update_stated_sizes(time_point now);
+    void update_stated_counts(time_point now);
     /// True if the list has shown all companions of the service at some time
     /// since all must have registered. Later ones become known one by one. A
     /// companion that reports and is not listed shows that the store did not
     /// accept registrations, so that the list may lack others, too.
     [[nodiscard]] bool is_list_whole(time_point now, service_id service) const;
-    /// Number of companions of a service for hellos; zero if not known.
-    [[nodiscard]] std::uint32_t stated_size(service_id service) const;
+    /// Companions of a service for hellos; none if not all are known.
+    [[nodiscard]] service_count stated_count(service_id service) const;
+    /// True if each number that companions of the service report counts only
+    /// companions that the entry knows, or that departed a moment ago.
+    [[nodiscard]] bool
+    explains_reported_counts(time_point now, service_id service) const;
     /// True if all companions of the service that the entry knows have
     /// reported, and there can be no others: it knows as many as entries state,
     /// or the list is whole. Otherwise a companion that the entry does not know
@@ -463,8 +467,8 @@
     std::optional<time_point> list_read_at;
     /// Services of which the list has shown all companions.
     std::set<service_id> services_listed_whole;
-    /// Numbers of companions that hellos state, by service.
-    std::map<service_id, std::uint32_t> stated_sizes;
+    /// Companions that hellos state, by service.
+    std::map<service_id, service_count> stated_counts;
 };
 
 } // namespace masticslip
--- a/include/masticslip/flow/flow_messages.hpp
+++ b/include/masticslip/flow/flow_messages.hpp
@@ -68,6 +68,8 @@
     /// Number of companions of the receiver's service; zero: the entry does not
     /// know all of them.
     std::uint32_t service_size = 0;
+    /// service_count::digest of these companions.
+    std::uint64_t service_digest = 0;
     /// The newest order that the entry has accepted from the receiver's
     /// address; zero: none.
     report_order newest_report{};
@@ -92,6 +94,8 @@
     /// Largest number of companions of its service that an entry has recently
     /// stated; zero: none has.
     std::uint32_t service_size = 0;
+    /// The digest that was stated with it.
+    std::uint64_t service_digest = 0;
     /// The companion's registration was not lost recently. The store may have
     /// lost others together with it.
     bool is_registration_continuous = false;
--- a/src/flow/companion_admission.cpp
+++ b/src/flow/companion_admission.cpp
@@ -402,7 +402,9 @@
     result.entry_count = static_cast<std::uint32_t>(this->entries.size());
     result.is_stopping = this->stopping;
     result.has_left = this->has_left(now);
-    result.service_size = this->service_size(now);
+    const service_count stated = this->largest_service_count(now);
+    result.service_size = stated.size;
+    result.service_digest = stated.digest;
     result.is_registration_continuous = this->is_registration_continuous;
     ++this->order.number;
     result.order = this->order;
@@ -425,14 +427,15 @@
             this->monitor.has_departed() || this->monitor.may_have_departed());
 }
 
-std::uint32_t companion_flow_core::service_size(time_point now) const
+service_count companion_flow_core::largest_service_count(time_point now) const
 {
-    std::uint32_t result = 0;
+    service_count result;
     for (const auto& [id, entry] : this->entries)
     {
-        if (now - entry.service_size_stated_at <= service_size_retention)
+        if (now - entry.service_stated_at <= service_size_retention &&
+            entry.service.size > result.size)
         {
-            result = std::max(result, entry.service_size);
+            result = entry.service;
         }
     }
     return result;
--- a/src/flow/companion_directory.cpp
+++ b/src/flow/companion_directory.cpp
@@ -66,8 +66,12 @@
     target.record = record;
     target.newest_report = report.order;
     target.is_stopping = report.is_stopping;
+    if (report.has_left && !target.has_left)
+    {
+        target.left_at = now;
+    }
     target.has_left = report.has_left;
-    target.reported_service_size = report.service_size;
+    target.reported_service = {report.service_size, report.service_digest};
     target.is_counted =
         !report.has_left && (target.is_counted || report.service_size != 0);
     target.is_registration_continuous = report.is_registration_continuous;
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -135,7 +135,7 @@
         return false;
     }
     this->stability.on_departure();
-    this->forget_service_sizes();
+    this->forget_service_counts();
     this->emit(
         now, flow_event_kind::upstream_changed, {}, {},
         result_code::not_run_upstream_leaving, incarnation.id);
@@ -254,8 +254,8 @@
     // Entries do not count a companion that has left.
     if (message.service_size != 0 && !this->has_left(now))
     {
-        entry.service_size = message.service_size;
-        entry.service_size_stated_at = now;
+        entry.service = {message.service_size, message.service_digest};
+        entry.service_stated_at = now;
     }
     const mark_relation relation = this->policies.compare(message.policy);
     if (relation == mark_relation::same_contents)
@@ -279,11 +279,11 @@
     this->output.send(sender, this->report(now));
 }
 
-void companion_flow_core::forget_service_sizes()
+void companion_flow_core::forget_service_counts()
 {
     for (auto& [id, entry] : this->entries)
     {
-        entry.service_size = 0;
+        entry.service = {};
     }
 }
 
@@ -296,7 +296,7 @@
     }
     if (this->has_left(now))
     {
-        this->forget_service_sizes();
+        this->forget_service_counts();
     }
     this->watch_stability(now);
     const result_code refusal = this->monitor.refusal(now);
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -88,7 +88,7 @@
         this->emit(
             now, flow_event_kind::member_joined, {}, record.id,
             result_code::done);
-        this->update_stated_sizes(now);
+        this->update_stated_counts(now);
         this->send_hello(now, *this->directory.find(record.id));
     }
 }
--- a/src/flow/entry_lookups.cpp
+++ b/src/flow/entry_lookups.cpp
@@ -390,7 +390,7 @@
             ++known;
             left += member.has_left ? 1 : 0;
             listed += member.is_listed ? 1 : 0;
-            size = std::max(size, member.reported_service_size);
+            size = std::max(size, member.reported_service.size);
         }
         reported += size;
     }
--- a/src/flow/entry_members.cpp
+++ b/src/flow/entry_members.cpp
@@ -34,6 +34,10 @@
 constexpr int lost_after_hellos = 5;
 /// Unanswered requests of any kind after which a companion is lost.
 constexpr std::uint32_t lost_after_requests = 5;
+/// A departed companion may explain a number that still counts it for this
+/// long: two hello intervals of a fleet of 100 processes. An address is given
+/// to another instance two seconds after a departure at the earliest.
+constexpr std::chrono::milliseconds departure_memory{1'500};
 /// Silent companions that the store does not list count as present for this
 /// long: their leases may have lapsed while the store was away.
 constexpr std::chrono::seconds unlisted_grace{5};
@@ -141,7 +145,7 @@
     this->retry_waiting_openings(now, message.load);
     if (is_new || had_left != message.has_left)
     {
-        this->update_stated_sizes(now);
+        this->update_stated_counts(now);
     }
     if (is_new || was_silent)
     {
@@ -187,25 +191,26 @@
     member.hello_sent_at = now;
     this->contact.on_request_sent(now);
     this->directory.on_request_sent(now, member.record.id);
+    const service_count stated = this->stated_count(member.service);
     this->output.send(
         member.record.id,
         entry_hello{
-            this->current_policy().mark(), member.is_listed,
-            this->stated_size(member.service), member.newest_report});
+            this->current_policy().mark(), member.is_listed, stated.size,
+            stated.digest, member.newest_report});
 }
 
 void entry_flow_core::send_first_hello(instance_id id)
 {
     this->output.send(
         id, entry_hello{
-                this->current_policy().mark(), true, 0,
+                this->current_policy().mark(), true, 0, 0,
                 this->directory.newest_report(id)});
 }
 
 void entry_flow_core::send_due_hellos(time_point now)
 {
     const duration interval = this->hello_interval();
-    this->update_stated_sizes(now);
+    this->update_stated_counts(now);
     for (auto& [id, member] : this->directory.all())
     {
         if (now - member.hello_sent_at >= interval)
@@ -248,15 +253,18 @@
     return this->list_read_at && now - *this->list_read_at >= discovery_time;
 }
 
-void entry_flow_core::update_stated_sizes(time_point now)
+void entry_flow_core::update_stated_counts(time_point now)
 {
-    this->stated_sizes.clear();
+    this->stated_counts.clear();
     for (const auto& [id, member] : this->directory.all())
     {
-        this->stated_sizes[member.service] +=
-            counts_as_present(now, member) ? 1 : 0;
+        service_count& count = this->stated_counts[member.service];
+        if (counts_as_present(now, member))
+        {
+            count.add(id);
+        }
     }
-    for (auto& [service, size] : this->stated_sizes)
+    for (auto& [service, count] : this->stated_counts)
     {
         if (this->is_list_whole(now, service))
         {
@@ -264,7 +272,7 @@
         }
         else
         {
-            size = 0;
+            count = {};
         }
     }
 }
@@ -292,17 +300,61 @@
     return is_any_present && this->is_settled(now);
 }
 
-std::uint32_t entry_flow_core::stated_size(service_id service) const
+service_count entry_flow_core::stated_count(service_id service) const
 {
-    const auto found = this->stated_sizes.find(service);
-    return found == this->stated_sizes.end() ? 0 : found->second;
+    const auto found = this->stated_counts.find(service);
+    return found == this->stated_counts.end() ? service_count{} : found->second;
+}
+
+bool entry_flow_core::explains_reported_counts(
+    time_point now, service_id service) const
+{
+    service_count present;
+    service_count counted;
+    std::vector<instance_id> departed;
+    std::vector<instance_id> not_counted;
+    for (const instance_id id : this->directory.of_service(service))
+    {
+        const directory_member& member = *this->directory.find(id);
+        if (!counts_as_present(now, member))
+        {
+            if (member.is_gone() && now - member.left_at < departure_memory)
+            {
+                departed.push_back(id);
+                not_counted.push_back(id);
+            }
+            continue;
+        }
+        present.add(id);
+        // A companion that is not counted yet must not stand in for one that is
+        // not known.
+        if (member.is_counted)
+        {
+            counted.add(id);
+        }
+        else
+        {
+            not_counted.push_back(id);
+        }
+    }
+    const auto& ids = this->directory.of_service(service);
+    return std::all_of(
+        ids.begin(), ids.end(),
+        [&](instance_id id)
+        {
+            const directory_member& member = *this->directory.find(id);
+            const service_count& reported = member.reported_service;
+            return !counts_as_present(now, member) ||
+                   reported.size <= counted.size ||
+                   is_explained(reported, present, departed) ||
+                   is_explained(reported, counted, not_counted);
+        });
 }
 
 bool entry_flow_core::knows_all_companions(
     time_point now, service_id service) const
 {
-    std::uint32_t known = 0;
-    std::uint32_t reported = 0;
+    bool is_any_reported = false;
     bool is_any_present = false;
     bool are_registrations_kept = true;
     for (const instance_id id : this->directory.of_service(service))
@@ -317,18 +369,15 @@
             return false;
         }
         is_any_present = true;
-        // A companion that is not counted yet must not stand in for one that is
-        // not known.
-        known += member.is_counted ? 1 : 0;
-        reported = std::max(reported, member.reported_service_size);
+        is_any_reported = is_any_reported || member.reported_service.size != 0;
         are_registrations_kept = are_registrations_kept && member.is_listed &&
                                  member.is_registration_continuous;
     }
     // The store may have lost registrations: then only a number that an entry
     // has stated, or the time, shows that all have registered again.
-    return reported == 0 ? (is_any_present && are_registrations_kept) ||
-                               this->is_list_whole(now, service)
-                         : known >= reported;
+    return is_any_reported ? this->explains_reported_counts(now, service)
+                           : (is_any_present && are_registrations_kept) ||
+                                 this->is_list_whole(now, service);
 }
 
 void entry_flow_core::send_hello_to_all(time_point now)
--- a/src/wire/flow_message_codec.cpp
+++ b/src/wire/flow_message_codec.cpp
@@ -108,6 +108,7 @@
     policy_mark_field(archive, message.policy);
     archive.plain(message.is_listed);
     archive.plain(message.service_size);
+    archive.plain(message.service_digest);
     report_order_field(archive, message.newest_report);
 }
 
@@ -124,6 +125,7 @@
     archive.plain(message.is_stopping);
     archive.plain(message.has_left);
     archive.plain(message.service_size);
+    archive.plain(message.service_digest);
     archive.plain(message.is_registration_continuous);
     report_order_field(archive, message.order);
 }
