Use the pace of the entry itself when it is faster than estimated

Cause: the wait ahead assumes that other entries hold about as many openings. An entry that receives most of a service's callers then takes its own places for a twentieth of the rate, and refuses openings that would have been served.

Change: the wait behind the openings of a service is at most what the places counted at this entry allow, as far as they are certain.

--- a/include/masticslip/flow/wait_estimate.hpp
+++ b/include/masticslip/flow/wait_estimate.hpp
@@ -93,6 +93,8 @@
 {
     /// Most places per second that agree with those counted.
     double places_per_second = std::numeric_limits<double>::infinity();
+    /// Fewest places per second that agree with those counted.
+    double fewest_places_per_second = 0;
     /// Fewest arrivals per second that agree with those counted.
     double arrivals_per_second = 0;
 };
@@ -163,10 +165,10 @@
 
 /// Selects the openings of one service that are refused, of those in `order`,
 /// the order of placement. The wait of an opening is that of all ahead of it at
-/// the service's rate, or of those of its route at the route's own pace, if
-/// that is longer. Where one would wait too long, the newest of its route's
-/// last round is refused instead if that makes room for it: the newest has not
-/// been held yet. Thread-safe.
+/// the service's rate, or at this entry's pace if that is faster; or of those
+/// of its route at the route's own pace, if that is longer. Where one would
+/// wait too long, the newest of its route's last round is refused instead if
+/// that makes room for it: the newest has not been held yet. Thread-safe.
 std::vector<wait_refusal> select_refusals(
     std::span<const queued_opening> order, const service_pace& pace);
 
--- a/src/flow/wait_estimate.cpp
+++ b/src/flow/wait_estimate.cpp
@@ -133,17 +133,26 @@
 route_pace pace_meter::pace(time_point now) const
 {
     const std::chrono::duration<double> elapsed = now - this->since;
-    if (elapsed < min_pace_time)
+    if (elapsed.count() <= 0)
     {
         return {};
     }
     // Bounds of the mean of a Poisson distribution, also for a count of zero.
+    const auto fewest = [](double count)
+    {
+        return std::max(0.0, count - deviations * std::sqrt(count));
+    };
     const double most_places = this->places +
                                deviations * std::sqrt(this->places) +
                                deviations * deviations;
-    const double fewest_arrivals =
-        std::max(0.0, this->arrivals - deviations * std::sqrt(this->arrivals));
-    return {most_places / elapsed.count(), fewest_arrivals / elapsed.count()};
+    route_pace result;
+    result.fewest_places_per_second = fewest(this->places) / elapsed.count();
+    if (elapsed >= min_pace_time)
+    {
+        result.places_per_second = most_places / elapsed.count();
+        result.arrivals_per_second = fewest(this->arrivals) / elapsed.count();
+    }
+    return result;
 }
 
 namespace
@@ -164,6 +173,10 @@
         std::span<const queued_opening> order, const service_pace& pace)
         : order(order), pace(pace)
     {
+        for (const auto& [route, item] : pace.routes)
+        {
+            this->places_per_second += item.fewest_places_per_second;
+        }
     }
 
     std::vector<wait_refusal> run()
@@ -209,9 +222,17 @@
             this->kept_of_route.at(this->last().route) - 1 - removed;
         const std::chrono::duration<double> by_route(
             static_cast<double>(ahead_in_route) / route.places_per_second);
-        const duration by_service =
+        duration by_service =
             wait_ahead(ahead, this->pace.entry_count, this->pace.rate)
                 .value_or(duration::zero());
+        if (this->places_per_second > 0)
+        {
+            // Other entries hold fewer openings than this one.
+            const std::chrono::duration<double> here(
+                static_cast<double>(ahead) / this->places_per_second);
+            by_service = std::min(
+                by_service, std::chrono::duration_cast<duration>(here));
+        }
         const duration wait = std::max(
             by_service, std::chrono::duration_cast<duration>(by_route));
         return {wait, this->with_later_arrivals(wait, route)};
@@ -280,6 +301,8 @@
 
     std::span<const queued_opening> order;
     const service_pace& pace;
+    /// Fewest places of all routes at this entry.
+    double places_per_second = 0;
     /// Positions of the openings that stay.
     std::vector<std::size_t> kept;
     std::map<endpoint, std::size_t> kept_of_route;
