Let a new registration that outlasts a restart keep its time of continuity

Companions of upstreams that a release had started within 3 s before the power loss count as new again when they restart. Change: the time from which a registration is continuous is taken over from the key's record also if it is still to come.

--- a/src/node/member_registration.cpp
+++ b/src/node/member_registration.cpp
@@ -196,7 +196,7 @@
     const time_point now = this->now();
     return this->is_written &&
            now - this->lease_confirmed_at < this->lifetime &&
-           (this->is_kept || now - this->written_at >= recovery_time);
+           now >= this->continuous_at;
 }
 
 asio::awaitable<void> member_registration::look_up()
@@ -209,6 +209,9 @@
     const auto since = this->proven_since(value.value_or(std::string()));
     this->is_kept = since.has_value();
     this->continuous_since = since.value_or(std::chrono::milliseconds{});
+    const auto remaining = std::max(
+        std::chrono::milliseconds{}, this->continuous_since - wall_time());
+    this->continuous_at = this->now() + remaining;
 }
 
 std::optional<std::chrono::milliseconds>
@@ -226,8 +229,11 @@
     // A restored copy may lack the registrations of others.
     const bool is_of_this_era =
         era && static_cast<std::uint64_t>(*era) == this->read_era;
-    const bool is_past = since && *since <= wall_time().count();
-    return is_of_this_era && is_past
+    // A registration that is still new when its process restarts goes on; a
+    // later time is that of another clock.
+    const auto latest = wall_time() + std::chrono::milliseconds(recovery_time);
+    const bool is_plausible = since && *since <= latest.count();
+    return is_of_this_era && is_plausible
                ? std::optional(std::chrono::milliseconds(*since))
                : std::nullopt;
 }
@@ -276,6 +282,7 @@
     {
         this->continuous_since =
             wall_time() + std::chrono::milliseconds(recovery_time);
+        this->continuous_at = this->now() + recovery_time;
     }
     const auto result = co_await this->store.put(
         this->key,
--- a/src/node/member_registration.hpp
+++ b/src/node/member_registration.hpp
@@ -66,8 +66,8 @@
     /// failed. Stores the position of the read.
     boost::asio::awaitable<std::optional<std::string>>
     read_value(std::string searched);
-    /// Since when a value that a former process wrote says that it was
-    /// continuous; nullopt if it does not prove that.
+    /// Since when a value that a former process wrote is continuous, which may
+    /// be a moment from now; nullopt if it does not prove that.
     [[nodiscard]] std::optional<std::chrono::milliseconds>
     proven_since(const std::string& text) const;
     boost::asio::awaitable<bool> grant();
@@ -102,6 +102,8 @@
     /// Since when the registration is continuous, on the wall clock. Later than
     /// the present while it is new.
     std::chrono::milliseconds continuous_since{};
+    /// The same on the clock of this process.
+    time_point continuous_at;
     /// Era of the store at the last read.
     std::uint64_t read_era = 0;
     bool is_deregistered = false;
