Give the highest waiting priority what the floors of the others leave

Change: each waiting route gets a tenth, the highest priority the rest. The detail of a refusal names what the first waiting opening could not get.

--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -209,6 +209,8 @@
         opening_share share;
         /// Of the routes with waiting openings.
         std::map<endpoint, pace_meter> meters;
+        /// Why the first of them was not placed last.
+        result_code refusal = result_code::not_run_no_upstream;
     };
 
     /// A lookup of the owner of a flow.
--- a/include/masticslip/flow/opening_share.hpp
+++ b/include/masticslip/flow/opening_share.hpp
@@ -5,9 +5,9 @@
 /// Load pattern: a burst exceeds the capacity of a service for longer than its
 /// callers wait. By strict priority the lower routes get nothing meanwhile, and
 /// in order of arrival a caller that opens fifty flows at once goes before
-/// fifty callers that open one. Each route therefore gets a share of the places
-/// by its weight and at least a tenth, and each caller address of a route gets
-/// a place before any gets its second.
+/// fifty callers that open one. Each route therefore gets at least a tenth of
+/// the places, the highest priority that waits gets the rest, and each caller
+/// address of a route gets a place before any gets its second.
 ///
 ///     share.sort(now + request_time, waiting);
 ///     for (const waiting_opening& item : waiting)
@@ -38,8 +38,8 @@
 constexpr double min_route_share = 0.1;
 
 /// Shares of waiting routes with these priorities, in the same order. Their sum
-/// is one. Each priority has twice the weight of the next lower one (4 for the
-/// lowest that is in use, which does not change the shares). Thread-safe.
+/// is one. Routes of the highest priority divide what the others' smallest
+/// shares leave, so that it is served in full while it fits alone. Thread-safe.
 std::vector<double> route_shares(std::span<const std::uint32_t> priorities);
 
 /// Not thread-safe. Exists while openings of the service wait.
--- a/src/flow/entry_openings.cpp
+++ b/src/flow/entry_openings.cpp
@@ -190,6 +190,12 @@
     const auto chosen = item.tried.size() < max_attempts
                             ? this->placement->choose(candidates, request)
                             : std::nullopt;
+    if (!chosen && item.tried.empty() &&
+        item.last_refusal == result_code::not_run_no_upstream)
+    {
+        // It waits without being tried at any companion.
+        item.last_refusal = common_refusal(candidates, item.last_refusal);
+    }
     if (!chosen && this->may_wait(now, flow, item))
     {
         this->set_waiting(item, true);
@@ -199,12 +205,6 @@
     }
     if (!chosen)
     {
-        if (item.tried.empty() &&
-            item.last_refusal == result_code::not_run_no_upstream)
-        {
-            // It has waited without being tried at any companion.
-            item.last_refusal = common_refusal(candidates, item.last_refusal);
-        }
         this->reject(now, flow, item);
         return;
     }
--- a/src/flow/entry_waiting.cpp
+++ b/src/flow/entry_waiting.cpp
@@ -21,8 +21,12 @@
 /// Callers abandon an opening this long after its first packet.
 constexpr std::chrono::milliseconds caller_patience{1'400};
 
-/// The estimate that led to a refusal, for logs.
-std::string describe(const wait_refusal& refusal, const service_pace& pace)
+/// The estimate that led to a refusal, and what the opening waited for, for
+/// logs.
+std::string describe(
+    const wait_refusal& refusal,
+    const service_pace& pace,
+    result_code waited_for)
 {
     const auto milliseconds = [](duration value)
     {
@@ -31,7 +35,8 @@
                 .count());
     };
     const auto rate = static_cast<std::uint64_t>(pace.rate.per_second);
-    return "wait_ms=" + milliseconds(refusal.wait) +
+    return "waited_for=" + std::string(to_string(waited_for)) +
+           " wait_ms=" + milliseconds(refusal.wait) +
            " ahead=" + std::to_string(refusal.openings_ahead) +
            " overtaken=" + std::to_string(refusal.is_overtaken ? 1 : 0) +
            " entries=" + std::to_string(pace.entry_count) +
@@ -249,7 +254,12 @@
         {
             continue;
         }
-        is_full = is_full || remaining->second.is_waiting;
+        if (remaining->second.is_waiting && !is_full)
+        {
+            is_full = true;
+            this->waiting_services[service].refusal =
+                remaining->second.last_refusal;
+        }
         if (!remaining->second.is_waiting)
         {
             remaining->second.has_place = true;
@@ -346,6 +356,7 @@
         return;
     }
     const service_pace pace = this->current_pace(now, service);
+    const result_code waited_for = this->waiting_services[service].refusal;
     std::vector<queued_opening> queued;
     std::vector<flow_endpoints> flows_queued;
     for (const waiting_opening& waiting : order)
@@ -363,7 +374,7 @@
         const flow_endpoints flow = flows_queued[refusal.position];
         opening& item = this->openings[flow];
         item.last_refusal = result_code::not_run_wait_too_long;
-        this->reject(now, flow, item, describe(refusal, pace));
+        this->reject(now, flow, item, describe(refusal, pace, waited_for));
     }
 }
 
--- a/src/flow/opening_share.cpp
+++ b/src/flow/opening_share.cpp
@@ -1,7 +1,6 @@
 #include "masticslip/flow/opening_share.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 
 namespace masticslip
@@ -13,46 +12,17 @@
     {
         return {};
     }
+    const auto routes = static_cast<double>(priorities.size());
     const std::uint32_t highest =
         *std::min_element(priorities.begin(), priorities.end());
-    const double floor =
-        std::min(min_route_share, 1.0 / static_cast<double>(priorities.size()));
-    std::vector<double> weights;
+    const auto of_highest = static_cast<double>(
+        std::count(priorities.begin(), priorities.end(), highest));
+    const double floor = std::min(min_route_share, 1.0 / routes);
+    const double rest = 1.0 - floor * (routes - of_highest);
+    std::vector<double> shares;
     for (const std::uint32_t priority : priorities)
     {
-        weights.push_back(
-            std::ldexp(1.0, -static_cast<int>(priority - highest)));
-    }
-    std::vector<double> shares(weights.size(), 0.0);
-    // Routes below the smallest share get it; the others divide the rest, which
-    // may bring more of them below it.
-    bool is_settled = false;
-    while (!is_settled)
-    {
-        is_settled = true;
-        double rest = 1.0;
-        double rest_weight = 0;
-        for (std::size_t i = 0; i < shares.size(); ++i)
-        {
-            rest -= shares[i];
-            rest_weight += shares[i] == 0 ? weights[i] : 0;
-        }
-        for (std::size_t i = 0; i < shares.size(); ++i)
-        {
-            if (shares[i] == 0 && rest * weights[i] / rest_weight < floor)
-            {
-                shares[i] = floor;
-                is_settled = false;
-            }
-        }
-        if (is_settled)
-        {
-            for (std::size_t i = 0; i < shares.size(); ++i)
-            {
-                shares[i] =
-                    shares[i] == 0 ? rest * weights[i] / rest_weight : floor;
-            }
-        }
+        shares.push_back(priority == highest ? rest / of_highest : floor);
     }
     return shares;
 }
