Start the pace of admission at two requests per slot

Change: the pace starts at two per slot, what a cold upstream could hold before, and may still be halved to one.

--- a/include/masticslip/flow/admission_pace.hpp
+++ b/include/masticslip/flow/admission_pace.hpp
@@ -5,7 +5,7 @@
 /// Load pattern: upstreams differ in speed by more than two, start cold, and
 /// slow down. A fixed number of requests in flight lets a slow upstream queue
 /// more than its callers wait for, and fills one that has just returned before
-/// it has shown that it answers. The limit therefore starts at one request per
+/// it has shown that it answers. The limit therefore starts at two requests per
 /// slot, grows while answers come without queueing, and halves when they do not
 /// come in time. It never exceeds what the upstream can answer within the
 /// target latency at its present speed.
@@ -83,7 +83,7 @@
     duration lowest_with(time_point now, duration median);
 
     duration target{};
-    double per_slot = 1;
+    double per_slot = 2;
     /// Upper bound of `per_slot` by the lower time at work of the two newest
     /// rounds: slow requests on all slots at once raise one.
     double sustainable = 4;
--- a/src/flow/admission_pace.cpp
+++ b/src/flow/admission_pace.cpp
@@ -8,8 +8,12 @@
 namespace
 {
 
+/// One at work and one that waits, so that a slot does not idle while the next
+/// opening is on its way. With one per slot callers waited for slots that were
+/// free after a loss of all power.
+constexpr double first_per_slot = 2;
 /// Fills all slots without a queue.
-constexpr double first_per_slot = 1;
+constexpr double least_per_slot = 1;
 /// The upstream's own queue holds about four times its slots.
 constexpr double most_per_slot = 4;
 constexpr double growth_per_round = 1;
@@ -137,7 +141,7 @@
         this->sustainable = std::clamp(
             sustainable_share * static_cast<double>(this->target.count()) /
                 static_cast<double>(work.count()),
-            first_per_slot, most_per_slot);
+            least_per_slot, most_per_slot);
     }
 }
 
@@ -152,7 +156,7 @@
 
 void admission_pace::change(time_point now, double value, pace_change why)
 {
-    const double next = std::clamp(value, first_per_slot, most_per_slot);
+    const double next = std::clamp(value, least_per_slot, most_per_slot);
     if (next == this->per_slot)
     {
         return;
