--- a/src/flow/opening_share.cpp
+++ b/src/flow/opening_share.cpp
@@ -20,6 +20,7 @@
     const double floor = std::min(min_route_share, 1.0 / routes);
     const double rest = 1.0 - floor * (routes - of_highest);
     std::vector<double> shares;
+    shares.reserve(priorities.size());
     for (const std::uint32_t priority : priorities)
     {
         shares.push_back(priority == highest ? rest / of_highest : floor);
@@ -48,6 +49,7 @@
         double cost = 1;
     };
     std::vector<turn> turns;
+    turns.reserve(queues.size());
     for (auto& [target, queue] : queues)
     {
         const route_state& route = this->routes[target];
@@ -85,6 +87,7 @@
                    item.second.next_place <= this->virtual_time;
         });
     std::vector<std::uint32_t> values;
+    values.reserve(priorities.size());
     for (const auto& [target, priority] : priorities)
     {
         values.push_back(priority);
