Check that the order of reports survives a new listing of an address

Cause: the case about a removed companion passed without the line that keeps the order. Change: the case also lists the address again and expects the late report to be ignored.

--- a/tests/flow/entry_late_message_test.cpp
+++ b/tests/flow/entry_late_message_test.cpp
@@ -69,6 +69,13 @@
     const report_order newest = core.companions().newest_report(companion(1));
     BOOST_TEST(newest.number == 9U);
 
+    // Also if the store lists a companion at its address again.
+    core.on_listed(at(10'001ms), registration(1));
+    core.on_message(at(10'001ms), companion(1), late);
+    const directory_member* listed = core.companions().find(companion(1));
+    BOOST_REQUIRE(listed != nullptr);
+    BOOST_TEST((listed->load_received_at == time_point{}));
+
     core.on_message(
         at(10'002ms), companion(1), with_order(ready_report(1), 2, 1));
     BOOST_TEST((core.companions().find(companion(1)) != nullptr));
