--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -209,7 +209,7 @@
         opening_share share;
         /// Of the routes with waiting openings.
         std::map<endpoint, pace_meter> meters;
-        /// Why the first of them was not placed last.
+        /// Why the first of them found no place at the last attempt.
         result_code refusal = result_code::not_run_no_upstream;
     };
 
