Report held flows of changed routes, so that a started entry keeps them

Cause: an entry knows only the changes since its own start, and concluded from the present service's denials alone that the flow was lost. Change: companions name in their reports the routes of which they hold flows and which name another service now, at most 32, and state when they cannot tell (restarted upstreams unobserved, or more routes). Entries query the companions that named the route before they reset. While the entry's first policy is younger than the age limit of flows, a companion of another service that cannot tell, has not reported or reported under an older policy prevents the reset. Evidence: the known failing test had no input that distinguished it from unrelated_services_neither_prevent_resets_nor_are_queried, which expects the opposite for the same reports; it now states what the holding companion reports, and further checks that the packet then goes to that companion. Four cases for companions that cannot tell are new, and one for the reports.

--- a/include/masticslip/flow/companion_directory.hpp
+++ b/include/masticslip/flow/companion_directory.hpp
@@ -51,6 +51,11 @@
     report_order newest_report;
     /// Its registration was not lost recently, according to its last report.
     bool is_registration_continuous = false;
+    /// See companion_report.
+    std::vector<endpoint> former_targets;
+    bool may_hold_other_flows = false;
+    /// Position of the policy that it has last reported.
+    store_position policy_position;
     /// Opening packets not answered in time since the newest load.
     std::uint32_t unanswered_openings = 0;
     /// True while the store lists it.
--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -35,6 +35,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace masticslip
@@ -276,6 +277,8 @@
     /// that of the flow's last packet.
     void on_request(flow_record& flow) const;
     void on_answer(const flow_record& flow, const flow_packet& packet);
+    /// Records the routes of which the upstream still holds flows.
+    void update_former_targets();
     void set_awaiting_answer(flow_record& flow, bool value);
     void set_state(flow_record& flow, flow_state state);
     [[nodiscard]] ownership ownership_of(
@@ -418,6 +421,9 @@
     time_point stopped_at;
     bool was_withdrawn = false;
     bool was_on_probation = false;
+    /// Addresses of routes that name another service now and have open flows
+    /// here; one more than reports can hold shows that some are missing.
+    std::set<endpoint> former_targets;
     bool was_silent = false;
     std::uint32_t reported_losses = 0;
     std::uint32_t reported_limit = 0;
--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -341,6 +341,14 @@
         time_point now,
         const flow_endpoints& flow,
         const owner_lookup& item) const;
+    /// Number of present companions of other services that may hold flows of
+    /// this route from before the entry's first policy, and cannot tell.
+    [[nodiscard]] std::size_t
+    count_unclear_holders(time_point now, const owner_lookup& item) const;
+    /// Services that the route named before, as far as this entry or companions
+    /// that hold such flows know.
+    [[nodiscard]] std::set<service_id>
+    former_services_of(const endpoint& target) const;
     /// Services whose companions are queried.
     [[nodiscard]] std::vector<service_id>
     services_of(const flow_endpoints& flow, const owner_lookup& item) const;
@@ -449,6 +457,7 @@
     /// policy in force.
     std::optional<policy_mark> newest_reported_policy;
     time_point first_policy_at;
+    store_position first_policy_position;
     former_services former;
     companion_directory directory;
     flow_table<flow_record> flows;
--- a/include/masticslip/flow/flow_messages.hpp
+++ b/include/masticslip/flow/flow_messages.hpp
@@ -14,6 +14,7 @@
 #include <compare>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace masticslip
 {
@@ -75,6 +76,10 @@
     report_order newest_report{};
 };
 
+/// Maximum number of addresses in companion_report::former_targets, which keeps
+/// a report below the size of a datagram.
+inline constexpr std::size_t max_former_targets = 32;
+
 /// Companion to entry: identity, load and policy.
 struct companion_report
 {
@@ -100,6 +105,12 @@
     /// lost others together with it.
     bool is_registration_continuous = false;
     report_order order{};
+    /// Addresses of routes that name another service now and of which the
+    /// upstream still holds open flows, at most `max_former_targets`.
+    std::vector<endpoint> former_targets;
+    /// There may be flows of other routes: the companion has not observed its
+    /// upstream for long enough, or they are too many to list.
+    bool may_hold_other_flows = false;
 };
 
 /// The upstream has accepted a flow.
--- a/include/masticslip/flow/former_services.hpp
+++ b/include/masticslip/flow/former_services.hpp
@@ -10,7 +10,8 @@
 ///     for (service_id service : former.of(target))
 ///         query_companions(service);
 ///
-/// Caveat: an entry knows only the changes since its own start.
+/// Caveat: an entry knows only the changes since its own start. Companions that
+/// hold flows of earlier services report them (companion_report).
 
 #include "masticslip/flow/policy.hpp"
 
--- a/src/flow/companion_admission.cpp
+++ b/src/flow/companion_admission.cpp
@@ -408,6 +408,16 @@
     result.is_registration_continuous = this->is_registration_continuous;
     ++this->order.number;
     result.order = this->order;
+    result.may_hold_other_flows =
+        this->may_hold_unknown_flows(now) ||
+        this->former_targets.size() > max_former_targets;
+    for (const endpoint& target : this->former_targets)
+    {
+        if (result.former_targets.size() < max_former_targets)
+        {
+            result.former_targets.push_back(target);
+        }
+    }
     return result;
 }
 
--- a/src/flow/companion_directory.cpp
+++ b/src/flow/companion_directory.cpp
@@ -75,6 +75,9 @@
     target.is_counted =
         !report.has_left && (target.is_counted || report.service_size != 0);
     target.is_registration_continuous = report.is_registration_continuous;
+    target.former_targets = report.former_targets;
+    target.may_hold_other_flows = report.may_hold_other_flows;
+    target.policy_position = report.policy.position;
     this->on_load(now, id, report.load);
     return is_new;
 }
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -73,6 +73,7 @@
     this->was_withdrawn = withdrawn;
     this->longest_idle_limit =
         std::max(this->longest_idle_limit, this->stated_idle_limit());
+    this->update_former_targets();
     this->emit(
         now, flow_event_kind::policy_in_force, {}, {}, result_code::done);
     this->send_reports(now);
@@ -333,6 +334,7 @@
     {
         this->next_sweep = now + sweep_interval;
         this->expire_flows(now);
+        this->update_former_targets();
     }
     if (now >= this->next_hint_sweep)
     {
--- a/src/flow/companion_flows.cpp
+++ b/src/flow/companion_flows.cpp
@@ -283,6 +283,24 @@
     }
 }
 
+void companion_flow_core::update_former_targets()
+{
+    this->former_targets.clear();
+    for (const auto& [key, flow] : this->flows)
+    {
+        const route_definition* route =
+            this->current_policy().find_route(key.target);
+        const bool is_former =
+            route != nullptr && route->service != this->settings.service;
+        const bool is_held = flow.accepted && flow.state != flow_state::ended;
+        if (is_former && is_held &&
+            this->former_targets.size() <= max_former_targets)
+        {
+            this->former_targets.insert(key.target);
+        }
+    }
+}
+
 void companion_flow_core::set_awaiting_answer(flow_record& flow, bool value)
 {
     if (flow.awaits_answer != value)
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -39,6 +39,7 @@
     if (this->first_policy_at == time_point{} && value->is_known())
     {
         this->first_policy_at = now;
+        this->first_policy_position = value->position();
     }
     const std::shared_ptr<const policy> previous = this->policies.current();
     const offer_result result = this->policies.offer(now, value);
--- a/src/flow/entry_lookups.cpp
+++ b/src/flow/entry_lookups.cpp
@@ -135,7 +135,7 @@
     {
         return result;
     }
-    for (const service_id service : this->former.of(flow.target))
+    for (const service_id service : this->former_services_of(flow.target))
     {
         if (service != item.service)
         {
@@ -145,6 +145,44 @@
     return result;
 }
 
+std::set<service_id>
+entry_flow_core::former_services_of(const endpoint& target) const
+{
+    std::set<service_id> result = this->former.of(target);
+    for (const auto& [id, member] : this->directory.all())
+    {
+        const auto& targets = member.former_targets;
+        if (std::find(targets.begin(), targets.end(), target) != targets.end())
+        {
+            result.insert(member.service);
+        }
+    }
+    return result;
+}
+
+std::size_t entry_flow_core::count_unclear_holders(
+    time_point now, const owner_lookup& item) const
+{
+    // Flows from before the first policy have ended by then.
+    if (now - this->first_policy_at >= this->settings.flow_age_limit)
+    {
+        return 0;
+    }
+    const auto is_unclear = [this, now, &item](const auto& entry)
+    {
+        const directory_member& member = entry.second;
+        const bool has_reported = member.load_received_at != time_point{};
+        const bool is_behind =
+            member.policy_position < this->first_policy_position;
+        return member.service != item.service &&
+               counts_as_present(now, member) &&
+               (!has_reported || is_behind || member.may_hold_other_flows);
+    };
+    const auto& all = this->directory.all();
+    return static_cast<std::size_t>(
+        std::count_if(all.begin(), all.end(), is_unclear));
+}
+
 void entry_flow_core::add_pending(
     time_point now,
     service_id service,
@@ -366,7 +404,8 @@
     result.absent = item.absent.size();
     result.unasked = this->count_unqueried(now, flow, item);
     result.unanswered = item.pending.size();
-    result.uncertain = item.uncertain.size();
+    result.uncertain =
+        item.uncertain.size() + this->count_unclear_holders(now, item);
     return result;
 }
 
--- a/src/wire/flow_message_codec.cpp
+++ b/src/wire/flow_message_codec.cpp
@@ -84,6 +84,25 @@
     archive.plain(value.on_probation);
 }
 
+template <class Archive, class Value>
+void former_targets_field(Archive& archive, Value& value)
+{
+    auto count = static_cast<std::uint8_t>(value.size());
+    archive.plain(count);
+    if (count > max_former_targets)
+    {
+        throw decode_error("too many former targets");
+    }
+    if constexpr (Archive::is_reading)
+    {
+        value.resize(count);
+    }
+    for (auto& target : value)
+    {
+        endpoint_field(archive, target);
+    }
+}
+
 template <class Archive, class Value>
 void report_order_field(Archive& archive, Value& value)
 {
@@ -128,6 +147,8 @@
     archive.plain(message.service_digest);
     archive.plain(message.is_registration_continuous);
     report_order_field(archive, message.order);
+    former_targets_field(archive, message.former_targets);
+    archive.plain(message.may_hold_other_flows);
 }
 
 template <class Archive, is_message<flow_opened> Message>
--- a/tests/flow/companion_evidence_test.cpp
+++ b/tests/flow/companion_evidence_test.cpp
@@ -247,4 +247,33 @@
          ownership::uncertain));
 }
 
+// The configuration leaves the flow where it is; entries that start later do
+// not know that its route ever named this service.
+BOOST_FIXTURE_TEST_CASE(
+    reports_name_changed_routes_while_the_upstream_holds_their_flows,
+    companion_fixture)
+{
+    make_ready();
+    open(test_flow(1), at(1ms));
+    configuration changed = test_policy(8)->value();
+    changed.routes[0].service = "papers";
+    core.on_policy(
+        at(2ms),
+        std::make_shared<policy>(store_position{0, 8}, std::move(changed)));
+    core.on_message(at(3ms), entry, entry_hello{});
+    const auto reports = messages_of<companion_report>(output.sent);
+    BOOST_REQUIRE(!reports.empty());
+    BOOST_REQUIRE(reports.back().former_targets.size() == 1U);
+    BOOST_TEST((reports.back().former_targets[0] == test_flow(1).target));
+
+    for (auto now = 250ms; now <= 20s; now += 250ms)
+    {
+        core.on_tick(at(now));
+    }
+    core.on_message(at(20s), entry, entry_hello{});
+    BOOST_TEST(messages_of<companion_report>(output.sent)
+                   .back()
+                   .former_targets.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/flow/entry_policy_evidence_test.cpp
+++ b/tests/flow/entry_policy_evidence_test.cpp
@@ -3,8 +3,12 @@
 
 #include "entry_fixture.hpp"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <ostream>
+
 using namespace masticslip;
 using namespace masticslip::test;
 
@@ -232,10 +236,61 @@
 {
     make_ready(2);
     companion_report report = report_of_service(3, "papers");
+    report.former_targets = {test_flow(1).target};
     core.on_message(at(0ms), companion(3), report);
     core.on_caller_packet(at(2ms), data_packet(test_flow(1), 1'001, 2));
     answer_absent(3ms, {1, 2}, test_flow(1));
     BOOST_TEST(output.resets.empty());
+
+    core.on_message(
+        at(4ms), companion(3), answer_to(test_flow(1), ownership::owned));
+    BOOST_TEST(output.resets.empty());
+    BOOST_REQUIRE(output.packets.size() == 1U);
+    BOOST_TEST((output.packets[0] == companion_packet_address(3)));
+}
+
+namespace
+{
+
+/// What a companion of another service reports about flows of other routes.
+struct unclear_report
+{
+    const char* name;
+    std::uint64_t policy_revision;
+    bool may_hold_other_flows;
+    std::chrono::milliseconds now;
+    std::size_t expected_resets;
+};
+
+const std::vector<unclear_report> unclear_reports{
+    {"has restarted", 7, true, 2ms, 0},
+    {"has an older policy", 6, false, 2ms, 0},
+    {"knows all its flows", 7, false, 2ms, 1},
+    {"has restarted, and flows from before have ended", 7, true, 60s, 1}};
+
+std::ostream& operator<<(std::ostream& stream, const unclear_report& item)
+{
+    return stream << item.name;
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE_F(
+    entry_fixture,
+    a_started_entry_resets_no_flow_that_a_companion_may_hold_without_knowing,
+    boost::unit_test::data::make(unclear_reports),
+    item)
+{
+    make_ready(2);
+    companion_report report = report_of_service(3, "papers");
+    report.may_hold_other_flows = item.may_hold_other_flows;
+    report.policy.position.revision = item.policy_revision;
+    core.on_message(at(0ms), companion(3), report);
+    report_from({1, 2}, 0ms, item.now);
+    core.on_message(at(item.now), companion(3), report);
+    core.on_caller_packet(at(item.now), data_packet(test_flow(1), 1'001, 2));
+    answer_absent(item.now + 1ms, {1, 2}, test_flow(1));
+    BOOST_TEST(output.resets.size() == item.expected_resets);
 }
 
 // A packet of an unknown flow, which anyone may send, causes no queries at
