Measure requests whose answer a closing packet has overtaken

What callers saw: nothing directly. The measured time and number of requests of an upstream came from a small part of them. Cause: a closing packet without data is smaller than the answer before it, arrives first, and made the answer look like a retransmission of an older one. Change: only packets with data move the sequence number to which an answer is compared. Test: an_answer_that_a_closing_packet_overtakes_is_measured.

--- a/src/flow/companion_flows.cpp
+++ b/src/flow/companion_flows.cpp
@@ -219,7 +219,11 @@
     }
     this->on_answer(flow, packet);
     flow.accepted = true;
-    flow.upstream_sequence = packet.sequence;
+    if (packet.payload_size > 0)
+    {
+        // A closing packet may overtake the answer, which is not older for it.
+        flow.upstream_sequence = packet.sequence;
+    }
     flow.upstream_closed = flow.upstream_closed || packet.flags.closes;
     if (packet.payload_size > 0)
     {
--- a/tests/flow/companion_load_test.cpp
+++ b/tests/flow/companion_load_test.cpp
@@ -444,4 +444,25 @@
     BOOST_TEST(output.to_upstream == 0U);
 }
 
+// Small packets overtake large ones on the way.
+BOOST_FIXTURE_TEST_CASE(
+    an_answer_that_a_closing_packet_overtakes_is_measured, companion_fixture)
+{
+    make_ready();
+    open(test_flow(1), at(1ms));
+    flow_packet closing = data_packet(test_flow(1), 1'101, 0, 0);
+    closing.origin = packet_origin::upstream;
+    closing.sequence = upstream_sequence + 1 + 600;
+    closing.flags.closes = true;
+    core.on_upstream_packet(at(31ms), closing);
+    flow_packet answer = data_packet(test_flow(1), 1'101, 0, 600);
+    answer.origin = packet_origin::upstream;
+    answer.sequence = upstream_sequence + 1;
+    core.on_upstream_packet(at(32ms), answer);
+    const upstream_load load = core.load(at(33ms));
+    BOOST_TEST(load.in_flight == 0U);
+    BOOST_TEST(load.request_samples == 1U);
+    BOOST_TEST(load.request_time.count() == 31'000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
