Set upstreams aside whose requests fail far more often than those of the others

Cause: an upstream that ends its flows at once has no request in flight and looks idle; no part judged an upstream by how its own flows end. Change: companions count answered requests, and those that the upstream resets, closes without an answer or leaves unanswered for twice the lowest target (request_outcomes); the counts halve each second and travel with the load. Entries compare the upstreams of a service (upstream_outliers) and set at most half of them aside. An outlier gets one repeatable request in 20 at most, four in a second from all entries, and other repeatable ones only if none else accepts and it answers most of them. Logged at both sides as upstream_changed. Contents of flows stay unread: an answer that reports an error counts as an answer.

--- a/include/masticslip/flow/companion_directory.hpp
+++ b/include/masticslip/flow/companion_directory.hpp
@@ -51,6 +51,10 @@
     report_order newest_report;
     /// Its registration was not lost recently, according to its last report.
     bool is_registration_continuous = false;
+    /// Its requests fail far more often than those of its service's others.
+    bool is_outlier = false;
+    /// When this entry placed a flow there although it was an outlier.
+    time_point probed_at;
     /// See companion_report.
     std::vector<endpoint> former_targets;
     bool may_hold_other_flows = false;
--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -24,6 +24,7 @@
 #include "masticslip/flow/flow_event.hpp"
 #include "masticslip/flow/opening_backoff.hpp"
 #include "masticslip/flow/policy_succession.hpp"
+#include "masticslip/flow/request_outcomes.hpp"
 #include "masticslip/flow/service_count.hpp"
 #include "masticslip/flow/service_time.hpp"
 #include "masticslip/flow/upstream_monitor.hpp"
@@ -199,6 +200,8 @@
         /// in progress then.
         time_point request_at;
         std::uint32_t requests_in_progress = 0;
+        /// The request in flight has counted as failed.
+        bool is_overdue = false;
         /// An opening with another sequence number that was forwarded while
         /// this flow was established.
         std::optional<unconfirmed_opening> next;
@@ -277,6 +280,16 @@
     /// that of the flow's last packet.
     void on_request(flow_record& flow) const;
     void on_answer(const flow_record& flow, const flow_packet& packet);
+    /// The upstream ended a flow, or delays its answer.
+    void on_failed_request(time_point now);
+    /// True if the packet ends the flow although its caller waits for an
+    /// answer.
+    [[nodiscard]] static bool
+    ends_unanswered(const flow_record& flow, const flow_packet& packet);
+    /// Counts requests as failed that wait far longer than their target.
+    void count_overdue_requests(time_point now);
+    /// Sends reports when requests begin or cease to fail.
+    void report_failures(time_point now);
     /// Records the routes of which the upstream still holds flows.
     void update_former_targets();
     void set_awaiting_answer(flow_record& flow, bool value);
@@ -385,6 +398,7 @@
     upstream_monitor monitor;
     upstream_stability stability;
     service_time request_times;
+    request_outcomes outcomes;
     admission_pace pace;
     cold_start_limit cold_limit;
     opening_backoff backoff;
@@ -421,6 +435,7 @@
     time_point stopped_at;
     bool was_withdrawn = false;
     bool was_on_probation = false;
+    bool was_failing = false;
     /// Addresses of routes that name another service now and have open flows
     /// here; one more than reports can hold shows that some are missing.
     std::set<endpoint> former_targets;
--- a/include/masticslip/flow/flow_messages.hpp
+++ b/include/masticslip/flow/flow_messages.hpp
@@ -9,6 +9,7 @@
 #include "masticslip/core/result_code.hpp"
 #include "masticslip/flow/flow_packet.hpp"
 #include "masticslip/flow/policy_mark.hpp"
+#include "masticslip/flow/request_outcomes.hpp"
 
 #include <chrono>
 #include <compare>
@@ -43,6 +44,8 @@
     /// The upstream has lately ended flows without an answer: it receives new
     /// flows only if no other upstream accepts them.
     bool on_probation = false;
+    /// How recent requests ended.
+    outcome_counts outcomes;
 
     bool operator==(const upstream_load&) const = default;
 };
--- a/include/masticslip/flow/flow_placement.hpp
+++ b/include/masticslip/flow/flow_placement.hpp
@@ -6,7 +6,9 @@
 /// recent placements to the reported load, and breaks ties by the flow's hash,
 /// so that entries with the same data do not all choose the same upstream.
 /// An upstream on probation (upstream_stability.hpp) looks idle and is chosen
-/// only if no other accepts, for repeatable requests before others.
+/// only if no other accepts, for repeatable requests before others. An outlier
+/// is chosen for a repeatable request if it is to be probed, or if none else
+/// accepts and it answers most requests.
 ///
 ///     const placement_rule* rule = find_placement_rule("two_choices");
 ///     const auto chosen = rule->choose(candidates, {hash, remote_cost});
@@ -35,6 +37,11 @@
     bool is_remote = false;
     /// True if it did not answer recent opening packets.
     bool is_suspect = false;
+    /// True if its requests fail far more often than those of the others
+    /// (upstream_outliers.hpp).
+    bool is_outlier = false;
+    /// True for an outlier that may have recovered.
+    bool is_probe_due = false;
 };
 
 /// Properties of the flow to be placed.
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -106,6 +106,7 @@
     if (is_restart)
     {
         this->request_times.clear();
+        this->outcomes.clear();
         this->pace.restart(now, pace_change::new_incarnation);
         this->backoff.clear();
         // The former incarnation will not answer any more.
@@ -300,6 +301,7 @@
         this->forget_service_counts();
     }
     this->watch_stability(now);
+    this->report_failures(now);
     const result_code refusal = this->monitor.refusal(now);
     if (refusal != this->last_refusal)
     {
@@ -333,6 +335,7 @@
     if (now >= this->next_sweep)
     {
         this->next_sweep = now + sweep_interval;
+        this->count_overdue_requests(now);
         this->expire_flows(now);
         this->update_former_targets();
     }
--- a/src/flow/companion_flows.cpp
+++ b/src/flow/companion_flows.cpp
@@ -218,6 +218,10 @@
         }
     }
     this->on_answer(flow, packet);
+    if (ends_unanswered(flow, packet))
+    {
+        this->on_failed_request(flow.last_packet);
+    }
     flow.accepted = true;
     if (packet.payload_size > 0)
     {
--- a/src/flow/entry_members.cpp
+++ b/src/flow/entry_members.cpp
@@ -142,6 +142,7 @@
     this->reported_entry_count = message.entry_count;
     const bool is_new = this->directory.on_report(now, sender, message);
     this->has_received_report = true;
+    this->check_outlier(now, sender);
     this->retry_waiting_openings(now, message.load);
     if (is_new || had_left != message.has_left)
     {
--- a/src/flow/entry_openings.cpp
+++ b/src/flow/entry_openings.cpp
@@ -158,9 +158,13 @@
             continue;
         }
         placement_candidate candidate{
-            id, member.load, member.unreported_placements,
+            id,
+            member.load,
+            member.unreported_placements,
             domain != this->settings.failure_domain,
-            member.unanswered_openings >= suspect_openings};
+            member.unanswered_openings >= suspect_openings,
+            member.is_outlier,
+            item.tried.empty() && this->is_probe_due(now, member)};
         if (item.is_waiting &&
             now - member.load_received_at > this->full_load_validity())
         {
@@ -212,6 +216,7 @@
     const instance_id id = candidates[*chosen].id;
     directory_member& member = *this->directory.find(id);
     ++member.unreported_placements;
+    this->count_probes(now, member, request.is_repeatable);
     const auto kind = item.tried.empty() ? flow_event_kind::flow_placed
                                          : flow_event_kind::flow_moved;
     this->emit(
@@ -255,6 +260,7 @@
     time_point now, instance_id sender, const flow_opened& message)
 {
     this->directory.on_load(now, sender, message.load);
+    this->check_outlier(now, sender);
     this->retry_waiting_openings(now, message.load);
     const auto pending = this->openings.find(message.flow);
     duration elapsed{};
@@ -283,6 +289,7 @@
     time_point now, instance_id sender, const flow_refused& message)
 {
     this->directory.on_load(now, sender, message.load);
+    this->check_outlier(now, sender);
     const auto pending = this->openings.find(message.flow);
     if (pending == this->openings.end())
     {
--- a/src/flow/flow_placement.cpp
+++ b/src/flow/flow_placement.cpp
@@ -1,5 +1,7 @@
 #include "masticslip/flow/flow_placement.hpp"
 
+#include "masticslip/flow/upstream_outliers.hpp"
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -97,37 +99,79 @@
     return candidate.unreported_placements < std::max(1U, free_slots);
 }
 
-/// Returns the positions of the candidates that accept the flow. Those on
-/// probation are included only if no other accepts it.
-std::vector<std::size_t> accepting(
-    std::span<const placement_candidate> candidates,
-    const placement_request& request)
+/// Positions of the candidates that accept a flow, by order of preference.
+struct accepting_candidates
 {
-    std::vector<std::size_t> result;
+    std::vector<std::size_t> probes;
+    std::vector<std::size_t> stable;
     std::vector<std::size_t> on_probation;
-    result.reserve(candidates.size());
-    bool unstable_only = true;
-    for (std::size_t i = 0; i < candidates.size(); ++i)
+    std::vector<std::size_t> outliers;
+
+    accepting_candidates(
+        std::span<const placement_candidate> candidates,
+        const placement_request& request)
     {
-        const bool is_unstable = candidates[i].load.on_probation;
-        unstable_only = unstable_only && is_unstable;
-        if (accepts(candidates[i]))
+        this->stable.reserve(candidates.size());
+        const bool outliers_only = std::all_of(
+            candidates.begin(), candidates.end(),
+            [](const placement_candidate& item) { return item.is_outlier; });
+        const bool unstable_only = std::all_of(
+            candidates.begin(), candidates.end(),
+            [](const placement_candidate& item)
+            { return item.load.on_probation; });
+        for (std::size_t i = 0; i < candidates.size(); ++i)
         {
-            (is_unstable ? on_probation : result).push_back(i);
+            const placement_candidate& item = candidates[i];
+            if (!accepts(item))
+            {
+                continue;
+            }
+            if (item.is_outlier && !outliers_only)
+            {
+                this->add_outlier(i, item, request);
+            }
+            else if (!item.load.on_probation)
+            {
+                this->stable.push_back(i);
+            }
+            else if (accepts_on_probation(item, request, unstable_only))
+            {
+                this->on_probation.push_back(i);
+            }
         }
     }
-    if (!result.empty())
+
+    void add_outlier(
+        std::size_t position,
+        const placement_candidate& item,
+        const placement_request& request)
     {
-        return result;
+        if (request.is_repeatable && item.is_probe_due)
+        {
+            this->probes.push_back(position);
+        }
+        else if (request.is_repeatable && answers_mostly(item.load.outcomes))
+        {
+            this->outliers.push_back(position);
+        }
     }
-    std::erase_if(
-        on_probation,
-        [&](std::size_t position)
+};
+
+/// Returns the positions of the preferred candidates that accept the flow.
+std::vector<std::size_t> accepting(
+    std::span<const placement_candidate> candidates,
+    const placement_request& request)
+{
+    accepting_candidates result(candidates, request);
+    for (std::vector<std::size_t>* positions :
+         {&result.probes, &result.stable, &result.on_probation})
+    {
+        if (!positions->empty())
         {
-            return !accepts_on_probation(
-                candidates[position], request, unstable_only);
-        });
-    return on_probation;
+            return std::move(*positions);
+        }
+    }
+    return std::move(result.outliers);
 }
 
 class least_cost_rule final : public placement_rule
--- a/src/wire/flow_message_codec.cpp
+++ b/src/wire/flow_message_codec.cpp
@@ -82,6 +82,8 @@
     archive.plain(value.request_samples);
     archive.plain(value.finished_per_second);
     archive.plain(value.on_probation);
+    archive.plain(value.outcomes.answered);
+    archive.plain(value.outcomes.failed);
 }
 
 template <class Archive, class Value>
--- a/src/wire/flow_message_codec_test.cpp
+++ b/src/wire/flow_message_codec_test.cpp
@@ -23,7 +23,8 @@
     std::chrono::microseconds(31'000),
     17,
     96,
-    true};
+    true,
+    {51, 3}};
 
 const policy_mark mark{{3, 77}, 2, 9, 11, 12};
 
