Read the first changes of the store's list soon

Cause: an entry pauses for 1 s after each change of the list of companions. After an outage the first registration starts the pause, and the others come during it. Change: batching_delay starts at 50 ms, doubles with each change up to the former delay, and starts again after a quiet time of twice that.

--- a/src/node/store_mirror.cpp
+++ b/src/node/store_mirror.cpp
@@ -1,5 +1,7 @@
 #include "store_mirror.hpp"
 
+#include "node_clock.hpp"
+
 #include "telemetry/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -106,9 +108,10 @@
     if (has_changes)
     {
         this->on_change(this->values, this->position);
-        if (this->times.batching_delay.count() > 0)
+        const auto delay = this->batching.next(node_now());
+        if (delay.count() > 0)
         {
-            co_await this->pause(this->times.batching_delay);
+            co_await this->pause(delay);
         }
     }
     co_return true;
--- a/src/node/store_mirror.hpp
+++ b/src/node/store_mirror.hpp
@@ -5,6 +5,8 @@
 /// out or is refused is retried; if the store has compacted the history or was
 /// restored from a copy, the whole prefix is read again.
 
+#include "batching_delay.hpp"
+
 #include "masticslip/store/key_value_store.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -34,9 +36,9 @@
         /// How long one call waits for changes. A connection that has gone
         /// silent is detected after this time.
         std::chrono::milliseconds watch_timeout{2'500};
-        /// Delay after a change, so that changes made in quick succession are
-        /// read with one call.
-        std::chrono::milliseconds batching_delay{0};
+        /// Longest delay after a change, so that changes made in quick
+        /// succession are read with one call.
+        std::chrono::milliseconds longest_batching_delay{0};
     };
 
     store_mirror(
@@ -46,7 +48,8 @@
         timing times,
         change_handler on_change)
         : context(context), store(store), prefix(std::move(prefix)),
-          times(times), on_change(std::move(on_change))
+          times(times), batching(times.longest_batching_delay),
+          on_change(std::move(on_change))
     {
     }
 
@@ -80,6 +83,7 @@
     key_value_store& store;
     std::string prefix;
     timing times;
+    batching_delay batching;
     change_handler on_change;
     std::map<std::string, std::string> values;
     store_position position;
