Admit no more requests than keep an upstream's slots busy

What callers saw: with room for half of the demand each upstream held 15 requests on 5 slots, two thirds of the target latency, in order of arrival; what was served was late more often than in time. Cause: the pace grew to four requests per slot, or to what 0.8 of the target allows, so the queue stood where nothing orders it by priority and time left. Change: an upper bound of slots x (1 + 2 x opening time / time at work) + the square root of the slots, both times measured; a halving starts from what is admitted. The bound by the target stays.

--- a/include/masticslip/flow/admission_pace.hpp
+++ b/include/masticslip/flow/admission_pace.hpp
@@ -10,6 +10,12 @@
 /// come in time. It never exceeds what the upstream can answer within the
 /// target latency at its present speed.
 ///
+/// Load pattern: more openings wait than a service has room for. What queues at
+/// an upstream is served in order of arrival, whatever its priority and the
+/// time that its caller still waits; entries order what waits there. No more
+/// are therefore admitted than keep all slots busy while the next opening is on
+/// its way, and a square root of the slots for the variation of requests.
+///
 ///     pace.restart(now, pace_change::new_incarnation);
 ///     pace.on_answered(now, request);
 ///     if (in_flight >= pace.limit(slots)) refuse();
@@ -60,6 +66,10 @@
 
     void on_answered(time_point now, const answered_request& request);
 
+    /// A new flow was admitted, and its caller sent the first request this long
+    /// after that.
+    void on_first_request(duration opening_time);
+
     /// The upstream returned an opening packet that was first forwarded at
     /// `forwarded`.
     void on_bounced(time_point now, time_point forwarded);
@@ -74,9 +84,13 @@
 
 private:
     void finish_round(time_point now);
-    /// Limits the pace so that the last of the requests in flight is answered
-    /// within the target at this time at work.
-    void limit_by_target(duration work);
+    /// Requests in flight that keep all slots busy.
+    [[nodiscard]] double busy_limit(std::uint32_t slots) const;
+    /// Upper bound, in requests per slot, so that the last of the requests in
+    /// flight is answered within the target.
+    [[nodiscard]] double sustainable() const;
+    /// Half of the requests in flight per slot that are admitted now.
+    [[nodiscard]] double half_of_limit() const;
     /// Applies a pace, in requests per slot, unless it is the present one.
     void change(time_point now, double value, pace_change why);
     /// Lowest median time at work of 10 to 20 s, including `median`.
@@ -84,9 +98,13 @@
 
     duration target{};
     double per_slot = 2;
-    /// Upper bound of `per_slot` by the lower time at work of the two newest
-    /// rounds: slow requests on all slots at once raise one.
-    double sustainable = 4;
+    /// Lower median time at work of the two newest rounds: slow requests on all
+    /// slots at once raise one. Zero: not known.
+    duration work{};
+    /// Moving average; zero: not known.
+    duration opening_time{};
+    /// Slots of the upstream at the last answer.
+    std::uint32_t known_slots = 1;
     int late_rounds = 0;
     /// Median time at work of the round before; zero: none.
     duration former_work{};
--- a/src/flow/admission_pace.cpp
+++ b/src/flow/admission_pace.cpp
@@ -1,6 +1,7 @@
 #include "masticslip/flow/admission_pace.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace masticslip
 {
@@ -38,6 +39,11 @@
 /// Late rounds in a row that halve the pace: slow requests on all slots at once
 /// make one late.
 constexpr int max_late_rounds = 2;
+/// Weight of the newest opening in the moving average, as a divisor.
+constexpr int opening_divisor = 8;
+/// A place becomes free, an entry is told, and sends an opening: about as long
+/// again as the opening itself takes.
+constexpr int openings_per_place = 2;
 /// Share of the target latency that all requests in flight may take. The time
 /// at work is low by up to a fifth, depending on the order of completions.
 constexpr double sustainable_share = 0.8;
@@ -82,7 +88,7 @@
     this->queued.clear();
     this->lowest = {};
     this->former_lowest = {};
-    this->sustainable = most_per_slot;
+    this->work = {};
     this->late_rounds = 0;
     this->former_work = {};
     this->period_start = now;
@@ -96,6 +102,7 @@
         // It was sent at the former pace.
         return;
     }
+    this->known_slots = request.slots;
     this->at_work.push_back(request.time_at_work());
     this->queued.push_back(request.was_queued() ? request.elapsed : duration{});
     if (this->at_work.size() >= std::max<std::size_t>(min_round, request.slots))
@@ -106,26 +113,26 @@
 
 void admission_pace::finish_round(time_point now)
 {
-    const duration work = value_at(this->at_work, this->at_work.size() / 2);
+    const duration median = value_at(this->at_work, this->at_work.size() / 2);
     const duration late =
         value_at(this->queued, this->queued.size() / in_time_divisor);
     this->at_work.clear();
     this->queued.clear();
-    const duration best = this->lowest_with(now, work);
-    this->limit_by_target(
-        this->former_work.count() == 0 ? work
-                                       : std::min(work, this->former_work));
-    this->former_work = work;
+    const duration best = this->lowest_with(now, median);
+    this->work = this->former_work.count() == 0
+                     ? median
+                     : std::min(median, this->former_work);
+    this->former_work = median;
     if (this->target.count() != 0 && late > this->target / target_divisor)
     {
         if (++this->late_rounds >= max_late_rounds)
         {
-            this->change(now, this->per_slot / 2, pace_change::answers_late);
+            this->change(now, this->half_of_limit(), pace_change::answers_late);
         }
         return;
     }
     this->late_rounds = 0;
-    if (work <= best * steady_factor)
+    if (median <= best * steady_factor)
     {
         this->change(
             now, this->per_slot + growth_per_round,
@@ -133,16 +140,43 @@
     }
 }
 
-void admission_pace::limit_by_target(duration work)
+void admission_pace::on_first_request(duration value)
 {
-    this->sustainable = most_per_slot;
-    if (this->target.count() != 0 && work.count() != 0)
+    this->opening_time =
+        this->opening_time.count() == 0
+            ? value
+            : this->opening_time +
+                  (value - this->opening_time) / opening_divisor;
+}
+
+double admission_pace::sustainable() const
+{
+    if (this->target.count() == 0 || this->work.count() == 0)
+    {
+        return most_per_slot;
+    }
+    return std::clamp(
+        sustainable_share * static_cast<double>(this->target.count()) /
+            static_cast<double>(this->work.count()),
+        least_per_slot, most_per_slot);
+}
+
+double admission_pace::half_of_limit() const
+{
+    return this->limit(this->known_slots) / (2.0 * this->known_slots);
+}
+
+double admission_pace::busy_limit(std::uint32_t slots) const
+{
+    const auto count = static_cast<double>(slots);
+    if (this->work.count() == 0)
     {
-        this->sustainable = std::clamp(
-            sustainable_share * static_cast<double>(this->target.count()) /
-                static_cast<double>(work.count()),
-            least_per_slot, most_per_slot);
+        return count * most_per_slot;
     }
+    const double reopening = static_cast<double>(this->opening_time.count()) *
+                             openings_per_place /
+                             static_cast<double>(this->work.count());
+    return count * (1 + reopening) + std::sqrt(count);
 }
 
 void admission_pace::on_bounced(time_point now, time_point forwarded)
@@ -150,7 +184,7 @@
     // Several openings may be forwarded before the first one bounces.
     if (forwarded >= this->changed_at)
     {
-        this->change(now, this->per_slot / 2, pace_change::bounce);
+        this->change(now, this->half_of_limit(), pace_change::bounce);
     }
 }
 
@@ -188,8 +222,10 @@
 
 std::uint32_t admission_pace::limit(std::uint32_t slots) const
 {
-    return static_cast<std::uint32_t>(
-        std::min(this->per_slot, this->sustainable) * slots);
+    const double limit = std::min(
+        std::min(this->per_slot, this->sustainable()) * slots,
+        this->busy_limit(slots));
+    return static_cast<std::uint32_t>(std::lround(limit));
 }
 
 } // namespace masticslip
--- a/src/flow/companion_flows.cpp
+++ b/src/flow/companion_flows.cpp
@@ -136,6 +136,10 @@
     flow.caller_sequence = end;
     if (flow.state == flow_state::open)
     {
+        if (flow.is_reserved)
+        {
+            this->pace.on_first_request(flow.last_packet - flow.created);
+        }
         flow.is_reserved = false;
         this->set_awaiting_answer(flow, true);
         this->on_request(flow);
