State in the load how many requests a companion admits

What callers saw: with room for half of the demand, of what was served a third was late, and openings were refused by companions after they had waited at an entry. Cause: entries assumed four requests per slot as the limit of every companion, and placed far more openings than it admits; those came back refused, out of their turn. Change: the load carries in_flight_limit, and entries place no more than that while openings wait; four per slot remains for companions that have not stated it. Test: waiting_openings_take_no_more_places_than_the_companion_states.

--- a/include/masticslip/flow/flow_messages.hpp
+++ b/include/masticslip/flow/flow_messages.hpp
@@ -46,6 +46,8 @@
     bool on_probation = false;
     /// How recent requests ended.
     outcome_counts outcomes;
+    /// Requests in flight at which new flows are refused; zero: not known.
+    std::uint32_t in_flight_limit = 0;
 
     bool operator==(const upstream_load&) const = default;
 };
--- a/src/flow/companion_admission.cpp
+++ b/src/flow/companion_admission.cpp
@@ -244,13 +244,14 @@
     result.request_samples = this->request_times.samples();
     result.finished_per_second = this->request_times.finished_per_second(now);
     result.outcomes = this->outcomes.recent(now);
+    result.in_flight_limit = this->in_flight_limit(result);
     if (result.is_cold)
     {
         const auto* service = this->current_policy().find_service(
             make_service_id(this->settings.service));
         const double rate =
             service == nullptr ? 0 : service->cold_flows_per_second;
-        const std::uint32_t allowed = this->in_flight_limit(result);
+        const std::uint32_t allowed = result.in_flight_limit;
         const std::uint32_t free_slots =
             allowed - std::min(allowed, this->in_flight);
         // A rate of zero means no limit.
@@ -272,7 +273,7 @@
     }
     else if (
         result.refusal == result_code::done &&
-        this->in_flight >= this->in_flight_limit(result))
+        this->in_flight >= result.in_flight_limit)
     {
         result.refusal = result_code::not_run_overloaded;
     }
@@ -307,7 +308,7 @@
 void companion_flow_core::report_pace(time_point now)
 {
     const upstream_load current = this->load(now);
-    const std::uint32_t limit = this->in_flight_limit(current);
+    const std::uint32_t limit = current.in_flight_limit;
     if (limit == this->reported_limit || this->monitor.status() == nullptr)
     {
         return;
@@ -537,7 +538,7 @@
     {
         return;
     }
-    const std::uint32_t limit = this->in_flight_limit(current);
+    const std::uint32_t limit = current.in_flight_limit;
     std::uint32_t free_slots = current.is_cold
                                    ? current.cold_capacity
                                    : limit - std::min(limit, current.in_flight);
--- a/src/flow/entry_openings.cpp
+++ b/src/flow/entry_openings.cpp
@@ -42,8 +42,8 @@
 constexpr std::chrono::milliseconds min_full_load_validity{50};
 constexpr std::chrono::milliseconds max_full_load_validity{400};
 
-/// Requests in flight per slot up to which companions admit flows at most
-/// (companion_admission.cpp).
+/// Requests in flight per slot up to which companions admit flows at most, for
+/// those that have not stated their limit.
 constexpr std::uint32_t in_flight_per_slot = 4;
 
 /// Assumes capacity for one flow at a companion whose full load is outdated.
@@ -64,7 +64,9 @@
 /// Places at a companion for openings that wait, according to its load.
 std::uint32_t free_places(const upstream_load& load)
 {
-    const std::uint32_t limit = load.concurrency * in_flight_per_slot;
+    const std::uint32_t limit = load.in_flight_limit != 0
+                                    ? load.in_flight_limit
+                                    : load.concurrency * in_flight_per_slot;
     return std::max(1U, limit - std::min(limit, load.in_flight));
 }
 
--- a/src/wire/flow_message_codec.cpp
+++ b/src/wire/flow_message_codec.cpp
@@ -84,6 +84,7 @@
     archive.plain(value.on_probation);
     archive.plain(value.outcomes.answered);
     archive.plain(value.outcomes.failed);
+    archive.plain(value.in_flight_limit);
 }
 
 template <class Archive, class Value>
--- a/src/wire/flow_message_codec_test.cpp
+++ b/src/wire/flow_message_codec_test.cpp
@@ -24,7 +24,8 @@
     17,
     96,
     true,
-    {51, 3}};
+    {51, 3},
+    8};
 
 const policy_mark mark{{3, 77}, 2, 9, 11, 12};
 
--- a/tests/flow/admission_pace_test.cpp
+++ b/tests/flow/admission_pace_test.cpp
@@ -321,6 +321,7 @@
     paced_fixture)
 {
     BOOST_TEST(in_flight_with_many_flows() == 7U);
+    BOOST_TEST(core.load(at(now)).in_flight_limit == 7U);
     BOOST_TEST(
         to_string(refusal()) ==
         std::string(to_string(result_code::not_run_overloaded)));
--- a/tests/flow/entry_waiting_test.cpp
+++ b/tests/flow/entry_waiting_test.cpp
@@ -3,8 +3,12 @@
 
 #include "entry_fixture.hpp"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <ostream>
+
 using namespace masticslip;
 using namespace masticslip::test;
 
@@ -114,6 +118,51 @@
 }
 
 // Guards against a reset of a flow that another entry has opened.
+namespace
+{
+
+/// A companion's load, and how many openings an entry places there.
+struct free_places_case
+{
+    const char* name;
+    std::uint32_t in_flight;
+    std::uint32_t limit;
+    std::size_t placed;
+};
+
+std::ostream& operator<<(std::ostream& stream, const free_places_case& item)
+{
+    return stream << item.name;
+}
+
+const std::vector<free_places_case> free_places_cases{
+    {"two places are free", 3, 5, 2},
+    {"nothing is in flight", 0, 5, 5},
+    {"more is in flight than it admits now", 9, 5, 1},
+    {"it has not stated its limit", 9, 0, 3}};
+
+} // namespace
+
+// With half of the room that callers need, openings beyond the places would be
+// refused by the companion and lose their turn.
+BOOST_DATA_TEST_CASE_F(
+    full_service_fixture,
+    waiting_openings_take_no_more_places_than_the_companion_states,
+    boost::unit_test::data::make(free_places_cases),
+    item)
+{
+    open(20);
+    BOOST_TEST(output.packets.empty());
+
+    companion_report report = full_report(1);
+    report.load.refusal = result_code::done;
+    report.load.in_flight = item.in_flight;
+    report.load.in_flight_limit = item.limit;
+    core.on_message(at(2ms), companion(1), report);
+    core.on_tick(at(2ms));
+    BOOST_TEST(output.packets.size() == item.placed);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_copy_is_not_refused_early, full_service_fixture)
 {
     open(served_in_time + 5, 1);
