--- a/include/masticslip/flow/companion_directory.hpp
+++ b/include/masticslip/flow/companion_directory.hpp
@@ -55,6 +55,8 @@
     bool is_outlier = false;
     /// When this entry placed a flow there although it was an outlier.
     time_point probed_at;
+    /// Part of the interval of probes that its next one comes earlier.
+    std::uint32_t next_probe_step = 0;
     /// See companion_report.
     std::vector<endpoint> former_targets;
     bool may_hold_other_flows = false;
--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -23,6 +23,7 @@
 #include "masticslip/flow/flow_placement.hpp"
 #include "masticslip/flow/former_services.hpp"
 #include "masticslip/flow/opening_share.hpp"
+#include "masticslip/flow/outlier_watch.hpp"
 #include "masticslip/flow/peer_contact.hpp"
 #include "masticslip/flow/policy_succession.hpp"
 #include "masticslip/flow/wait_estimate.hpp"
@@ -199,16 +200,6 @@
         }
     };
 
-    /// Upstreams of a service that are set aside. Exists only while there are
-    /// any.
-    struct service_outliers
-    {
-        time_point compared_at;
-        /// Openings of repeatable requests that were placed since the last
-        /// probe.
-        std::uint32_t placed_since_probe = 0;
-    };
-
     /// Openings of one service that wait. Exists only while there are any.
     struct waiting_service
     {
@@ -296,23 +287,8 @@
         duration request_time) const;
     [[nodiscard]] remaining_wait remaining_wait_of(
         time_point now, const flow_endpoints& flow, const opening& item) const;
-    /// A companion sent its load, which may make its upstream an outlier.
-    void check_outlier(time_point now, instance_id sender);
-    /// Compares the upstreams of a service, and reports those that begin or
-    /// cease to be outliers.
-    void compare_upstreams(time_point now, service_id service);
-    /// True if a repeatable request may be used to find out whether the outlier
-    /// has recovered.
-    [[nodiscard]] bool
-    is_probe_due(time_point now, const directory_member& member) const;
-    /// Interval at which this entry probes an outlier.
-    [[nodiscard]] duration outlier_probe_interval() const;
-    /// Part of the interval that counts as elapsed when an upstream becomes an
-    /// outlier, so that the entries do not probe it together.
-    [[nodiscard]] duration probe_offset(const directory_member& member) const;
-    /// An opening was placed at this companion.
-    void
-    count_probes(time_point now, directory_member& member, bool is_repeatable);
+    /// A companion sent its load: logs which upstreams are outliers now.
+    void report_outliers(time_point now, instance_id sender);
     void set_waiting(opening& item, bool value);
     void erase_opening(const flow_endpoints& flow);
     [[nodiscard]] duration full_load_validity() const;
@@ -487,12 +463,12 @@
     store_position first_policy_position;
     former_services former;
     companion_directory directory;
+    outlier_watch outliers{this->directory};
     flow_table<flow_record> flows;
     flow_table<opening> openings;
     flow_table<owner_lookup> lookups;
     std::uint64_t arrival_count = 0;
     std::map<service_id, waiting_service> waiting_services;
-    std::map<service_id, service_outliers> outliers;
     /// No opening or lookup is due before this.
     std::optional<time_point> earliest_deadline;
     time_point next_sweep;
--- a/src/flow/entry_members.cpp
+++ b/src/flow/entry_members.cpp
@@ -142,7 +142,7 @@
     this->reported_entry_count = message.entry_count;
     const bool is_new = this->directory.on_report(now, sender, message);
     this->has_received_report = true;
-    this->check_outlier(now, sender);
+    this->report_outliers(now, sender);
     this->retry_waiting_openings(now, message.load);
     if (is_new || had_left != message.has_left)
     {
@@ -159,6 +159,19 @@
     this->compare_policy(sender, message.policy);
 }
 
+void entry_flow_core::report_outliers(time_point now, instance_id sender)
+{
+    for (const outlier_change& change : this->outliers.on_load(now, sender))
+    {
+        this->emit(
+            now, flow_event_kind::upstream_changed, {}, change.id,
+            result_code::done, change.compared, 0, {},
+            std::string(change.is_outlier ? "outlier" : "no_outlier") +
+                " failed=" + std::to_string(change.outcomes.failed) +
+                " answered=" + std::to_string(change.outcomes.answered));
+    }
+}
+
 void entry_flow_core::compare_policy(
     instance_id sender, const policy_mark& mark)
 {
--- a/src/flow/entry_openings.cpp
+++ b/src/flow/entry_openings.cpp
@@ -166,7 +166,8 @@
             domain != this->settings.failure_domain,
             member.unanswered_openings >= suspect_openings,
             member.is_outlier,
-            item.tried.empty() && this->is_probe_due(now, member)};
+            item.tried.empty() && this->outliers.is_probe_due(
+                                      now, member, this->reported_entry_count)};
         if (item.is_waiting &&
             now - member.load_received_at > this->full_load_validity())
         {
@@ -218,7 +219,7 @@
     const instance_id id = candidates[*chosen].id;
     directory_member& member = *this->directory.find(id);
     ++member.unreported_placements;
-    this->count_probes(now, member, request.is_repeatable);
+    this->outliers.on_placed(now, member, request.is_repeatable);
     const auto kind = item.tried.empty() ? flow_event_kind::flow_placed
                                          : flow_event_kind::flow_moved;
     this->emit(
@@ -262,7 +263,7 @@
     time_point now, instance_id sender, const flow_opened& message)
 {
     this->directory.on_load(now, sender, message.load);
-    this->check_outlier(now, sender);
+    this->report_outliers(now, sender);
     this->retry_waiting_openings(now, message.load);
     const auto pending = this->openings.find(message.flow);
     duration elapsed{};
@@ -291,7 +292,7 @@
     time_point now, instance_id sender, const flow_refused& message)
 {
     this->directory.on_load(now, sender, message.load);
-    this->check_outlier(now, sender);
+    this->report_outliers(now, sender);
     const auto pending = this->openings.find(message.flow);
     if (pending == this->openings.end())
     {
