Admit two standard deviations more than keep an upstream's slots busy

What callers saw: one opening in thousands was refused by a companion and moved, at 35% of the capacity. Cause: two entries that chose an upstream in the same moment exceeded its bound, which allowed one square root of the slots. Change: twice the root.

--- a/include/masticslip/flow/admission_pace.hpp
+++ b/include/masticslip/flow/admission_pace.hpp
@@ -14,7 +14,7 @@
 /// an upstream is served in order of arrival, whatever its priority and the
 /// time that its caller still waits; entries order what waits there. No more
 /// are therefore admitted than keep all slots busy while the next opening is on
-/// its way, and a square root of the slots for the variation of requests.
+/// its way, and two square roots of the slots for the variation of requests.
 ///
 ///     pace.restart(now, pace_change::new_incarnation);
 ///     pace.on_answered(now, request);
--- a/src/flow/admission_pace.cpp
+++ b/src/flow/admission_pace.cpp
@@ -44,6 +44,10 @@
 /// A place becomes free, an entry is told, and sends an opening: about as long
 /// again as the opening itself takes.
 constexpr int openings_per_place = 2;
+/// Standard deviations, of a count that varies like its root, by which requests
+/// in flight may exceed what keeps the slots busy on average. With one, flows
+/// are refused where two entries choose an upstream at the same moment.
+constexpr double deviations = 2;
 /// Share of the target latency that all requests in flight may take. The time
 /// at work is low by up to a fifth, depending on the order of completions.
 constexpr double sustainable_share = 0.8;
@@ -176,7 +180,7 @@
     const double reopening = static_cast<double>(this->opening_time.count()) *
                              openings_per_place /
                              static_cast<double>(this->work.count());
-    return count * (1 + reopening) + std::sqrt(count);
+    return count * (1 + reopening) + deviations * std::sqrt(count);
 }
 
 void admission_pace::on_bounced(time_point now, time_point forwarded)
