Check with the store when nobody has heard that the policy is the newest

Cause: an entry took the silence of its watch for the absence of changes for as long as the watch lasted: 0.4 s an entry and one second more, 7.8 s at 17 entries, 11 s from 25 on, while a change has to be in force in 3 to 5 s. The design relied on the watches of many entries ending one after the other, but a change answers all of them at once. Whoever watches next does so in step, and a store that swallows these calls leaves no process with a call that could report anything. Change: policy_evidence holds when the store last confirmed the policy in force; hellos and reports pass its age on (control protocol 7). An entry checks with a call of its own at a quarter of the time limit (setting bounds.config_apply_ms, or evacuate_ms if less); companions tell entries their rank, and the others wait for the first. A check that finds a change replaces the silent watch. Watches last up to 20 s and end at random. Observability: policy_in_force names version, source and age of the evidence before it; policy_unconfirmed and policy_confirmed mark stale evidence; gauges policy_version, policy_source, policy_in_force_seconds, policy_evidence_age_seconds, policy_checks_failed; counters policy_checks_total, policies_refused_total.

--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -23,6 +23,7 @@
 #include "masticslip/flow/cold_start_limit.hpp"
 #include "masticslip/flow/flow_event.hpp"
 #include "masticslip/flow/opening_backoff.hpp"
+#include "masticslip/flow/policy_evidence.hpp"
 #include "masticslip/flow/policy_succession.hpp"
 #include "masticslip/flow/request_outcomes.hpp"
 #include "masticslip/flow/service_count.hpp"
@@ -83,6 +84,8 @@
     /// Start time of the process in microseconds since the Unix epoch, which
     /// orders its reports after those of former processes; zero: not known.
     std::uint64_t process_number = 0;
+    /// Time within which a change of the policy has to be in force.
+    std::chrono::milliseconds policy_time_limit = default_policy_time_limit;
 };
 
 /// Not thread-safe; times must not decrease.
@@ -96,7 +99,13 @@
         flow_event_sink& events);
 
     /// Offers a policy; what is newer in it is applied (policy_succession.hpp).
-    void on_policy(time_point now, const std::shared_ptr<const policy>& value);
+    /// `source` is the peer that it came from.
+    void on_policy(
+        time_point now,
+        const std::shared_ptr<const policy>& value,
+        instance_id source = {});
+
+    [[nodiscard]] policy_status status_of_policy(time_point now) const;
 
     /// The upstream sent its status, or its departure. Returns true if it was
     /// accepted.
@@ -230,6 +239,8 @@
         std::hash<flow_endpoints>>;
 
     void on_policy_changed(time_point now);
+    /// Emits an event when the evidence becomes stale or fresh again.
+    void report_evidence(time_point now);
     void
     on_opening(time_point now, instance_id entry, const flow_packet& packet);
     /// Forwards an opening for a flow that was learned from later packets: a
@@ -327,6 +338,7 @@
     /// address, if the clock was set back since.
     void follow_order(const report_order& newest);
     void send_reports(time_point now);
+    void send_report(time_point now, instance_id entry);
     /// Counts silences as losses, and reports changes of the probation.
     void watch_stability(time_point now);
     /// Emits an event if the limit of requests in flight has changed.
@@ -395,6 +407,7 @@
     companion_flow_output& output;
     flow_event_sink& events;
     policy_succession policies;
+    policy_evidence evidence;
     upstream_monitor monitor;
     upstream_stability stability;
     service_time request_times;
--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -25,6 +25,7 @@
 #include "masticslip/flow/opening_share.hpp"
 #include "masticslip/flow/outlier_watch.hpp"
 #include "masticslip/flow/peer_contact.hpp"
+#include "masticslip/flow/policy_evidence.hpp"
 #include "masticslip/flow/policy_succession.hpp"
 #include "masticslip/flow/wait_estimate.hpp"
 
@@ -70,6 +71,8 @@
     /// capacity. The rest leaves time for the answer, or for the caller to use
     /// an alternative. Zero: openings are rejected immediately.
     double wait_share = 0.4;
+    /// Time within which a change of the policy has to be in force.
+    std::chrono::milliseconds policy_time_limit = default_policy_time_limit;
 };
 
 /// Not thread-safe; times must not decrease.
@@ -84,7 +87,23 @@
         flow_event_sink& events);
 
     /// Offers a policy; what is newer in it is applied (policy_succession.hpp).
-    void on_policy(time_point now, const std::shared_ptr<const policy>& value);
+    /// `source` is the peer that it came from; zero: the store.
+    void on_policy(
+        time_point now,
+        const std::shared_ptr<const policy>& value,
+        instance_id source = {});
+
+    /// At `time` the store held nothing newer than the policy that was offered
+    /// last from there.
+    void on_policy_confirmed(time_point now, time_point time);
+
+    /// True if the store has to be asked whether it holds a newer policy.
+    [[nodiscard]] bool is_policy_check_due(time_point now) const
+    {
+        return this->evidence.is_check_due(now);
+    }
+
+    [[nodiscard]] policy_status status_of_policy(time_point now) const;
 
     /// The store lists a companion.
     void on_listed(time_point now, const companion_record& record);
@@ -241,7 +260,8 @@
     /// True while a companion has reported a newer policy that was not fetched.
     /// It may have routes that the policy in force lacks.
     [[nodiscard]] bool knows_newer_policy() const;
-    void compare_policy(instance_id sender, const policy_mark& mark);
+    void compare_policy(
+        time_point now, instance_id sender, const companion_report& message);
     void on_packet_without_route(time_point now, const flow_packet& packet);
     void on_opening(time_point now, const flow_packet& packet);
     void place(time_point now, const flow_endpoints& flow, opening& item);
@@ -321,6 +341,8 @@
     /// Emits an event when contact with all companions is lost or restored.
     void report_contact_change(time_point now);
     void on_policy_changed(time_point now);
+    /// Emits an event when the evidence becomes stale or fresh again.
+    void report_evidence(time_point now);
     [[nodiscard]] bool is_retry_safe(const flow_endpoints& flow) const;
     [[nodiscard]] bool has_reached_wait_limit(
         time_point now, const flow_endpoints& flow, const opening& item) const;
@@ -402,7 +424,7 @@
         time_point now, instance_id sender, const companion_report& message);
     void send_hello(time_point now, directory_member& member);
     /// Greets a companion that only others know; its report makes it known.
-    void send_first_hello(instance_id id);
+    void send_first_hello(time_point now, instance_id id);
     void send_hello_to_all(time_point now);
     /// Sends hellos that are due and marks companions that do not answer.
     void send_due_hellos(time_point now);
@@ -456,6 +478,7 @@
     flow_event_sink& events;
     const placement_rule* placement;
     policy_succession policies;
+    policy_evidence evidence;
     /// The reported mark with the highest position that was newer than the
     /// policy in force.
     std::optional<policy_mark> newest_reported_policy;
--- a/include/masticslip/flow/flow_event.hpp
+++ b/include/masticslip/flow/flow_event.hpp
@@ -35,11 +35,14 @@
     freeze_detected,  ///< The process was suspended; its state may be stale.
     companions_lost,  ///< No companion answers: the entry is isolated.
     companions_found, ///< Companions answer again.
-    policy_kept       ///< A restored store holds an older version of the
+    policy_kept,      ///< A restored store holds an older version of the
                       ///< configuration, which was not applied.
+    policy_unconfirmed, ///< For too long there is no evidence that no newer
+                        ///< policy exists.
+    policy_confirmed    ///< There is again.
 };
 
-constexpr std::size_t flow_event_count = 22;
+constexpr std::size_t flow_event_count = 24;
 
 /// Stable names, in the order of the enumeration.
 extern const std::array<std::string_view, flow_event_count> flow_event_names;
--- a/include/masticslip/flow/flow_messages.hpp
+++ b/include/masticslip/flow/flow_messages.hpp
@@ -79,12 +79,18 @@
     /// The newest order that the entry has accepted from the receiver's
     /// address; zero: none.
     report_order newest_report{};
+    /// Age of the sender's evidence that no policy newer than `policy` exists
+    /// (policy_evidence.hpp).
+    duration policy_evidence_age = duration::max();
 };
 
 /// Maximum number of addresses in companion_report::former_targets, which keeps
 /// a report below the size of a datagram.
 inline constexpr std::size_t max_former_targets = 32;
 
+/// Largest companion_report::entry_rank.
+inline constexpr std::uint32_t max_check_rank = 2;
+
 /// Companion to entry: identity, load and policy.
 struct companion_report
 {
@@ -116,6 +122,11 @@
     /// There may be flows of other routes: the companion has not observed its
     /// upstream for long enough, or they are too many to list.
     bool may_hold_other_flows = false;
+    /// As in entry_hello.
+    duration policy_evidence_age = duration::max();
+    /// Number of entries known to the companion that check for newer policies
+    /// before the receiver, at most `max_check_rank`.
+    std::uint32_t entry_rank = 0;
 };
 
 /// The upstream has accepted a flow.
--- a/include/masticslip/flow/policy_succession.hpp
+++ b/include/masticslip/flow/policy_succession.hpp
@@ -56,9 +56,12 @@
 
     policy_succession();
 
-    /// Offers a policy, read from the store or fetched from a peer.
-    offer_result
-    offer(time_point now, const std::shared_ptr<const policy>& offered);
+    /// Offers a policy that was fetched from the peer `source`, or read from
+    /// the store if it is zero.
+    offer_result offer(
+        time_point now,
+        const std::shared_ptr<const policy>& offered,
+        instance_id source = {});
 
     /// Compares a peer's mark. Marks with carried withdrawals that were
     /// fetched once are not reported as newer again.
@@ -77,12 +80,28 @@
         return this->in_force;
     }
 
+    /// When the contents in force were applied, and the peer that they came
+    /// from; zero: the store.
+    [[nodiscard]] time_point applied_at() const
+    {
+        return this->contents_applied_at;
+    }
+
+    [[nodiscard]] instance_id source() const
+    {
+        return this->contents_source;
+    }
+
 private:
+    offer_result
+    merge(time_point now, const std::shared_ptr<const policy>& offered);
     void enter_era(time_point now, std::uint64_t era);
     [[nodiscard]] carried_withdrawals merge_carried(
         time_point now, const policy& older, const policy& newer) const;
 
     std::shared_ptr<const policy> in_force;
+    time_point contents_applied_at;
+    instance_id contents_source;
     /// Newest era, and the time at which it was first seen.
     std::uint64_t newest_era = 0;
     time_point era_seen_at;
--- a/include/masticslip/wire/flow_message_codec.hpp
+++ b/include/masticslip/wire/flow_message_codec.hpp
@@ -17,7 +17,7 @@
 {
 
 /// Version of the control protocol on the layer-4 path.
-constexpr std::uint8_t flow_protocol_version = 6;
+constexpr std::uint8_t flow_protocol_version = 7;
 
 /// Returns the encoded datagram. Thread-safe.
 bytes encode_flow_message(const flow_message& message);
--- a/src/flow/companion_admission.cpp
+++ b/src/flow/companion_admission.cpp
@@ -406,6 +406,7 @@
     result.packet_address = this->settings.packet_address;
     result.load = this->load(now);
     result.policy = this->current_policy().mark();
+    result.policy_evidence_age = this->evidence.age(now);
     result.entry_count = static_cast<std::uint32_t>(this->entries.size());
     result.is_stopping = this->stopping;
     result.has_left = this->has_left(now);
@@ -480,18 +481,34 @@
         {
             return;
         }
-        this->output.send(*entry, this->report(now));
+        this->send_report(now, *entry);
     }
 }
 
 void companion_flow_core::send_reports(time_point now)
 {
-    const flow_message message = this->report(now);
+    companion_report message = this->report(now);
+    message.entry_rank = 0;
     for (auto& [id, entry] : this->entries)
     {
         entry.last_report_at = now;
         this->output.send(id, message);
+        message.entry_rank = std::min(message.entry_rank + 1, max_check_rank);
     }
 }
 
+void companion_flow_core::send_report(time_point now, instance_id entry)
+{
+    companion_report message = this->report(now);
+    for (const auto& [id, known] : this->entries)
+    {
+        if (id == entry || message.entry_rank == max_check_rank)
+        {
+            break;
+        }
+        ++message.entry_rank;
+    }
+    this->output.send(entry, message);
+}
+
 } // namespace masticslip
--- a/src/flow/companion_flow_core.cpp
+++ b/src/flow/companion_flow_core.cpp
@@ -36,6 +36,7 @@
     companion_flow_output& output,
     flow_event_sink& events)
     : settings(std::move(values)), output(output), events(events),
+      evidence(this->settings.policy_time_limit),
       monitor({this->settings.status_interval}),
       freeze(freeze_limit, policy_confirmation_timeout),
       order{this->settings.process_number, 0},
@@ -44,10 +45,12 @@
 }
 
 void companion_flow_core::on_policy(
-    time_point now, const std::shared_ptr<const policy>& value)
+    time_point now,
+    const std::shared_ptr<const policy>& value,
+    instance_id source)
 {
     this->observe(now);
-    const offer_result result = this->policies.offer(now, value);
+    const offer_result result = this->policies.offer(now, value, source);
     if (result.older_version_ignored)
     {
         this->emit(
@@ -75,10 +78,34 @@
         std::max(this->longest_idle_limit, this->stated_idle_limit());
     this->update_former_targets();
     this->emit(
-        now, flow_event_kind::policy_in_force, {}, {}, result_code::done);
+        now, flow_event_kind::policy_in_force, {}, this->policies.source(),
+        result_code::done,
+        describe_policy(this->current_policy(), this->status_of_policy(now)));
     this->send_reports(now);
 }
 
+policy_status companion_flow_core::status_of_policy(time_point now) const
+{
+    return {
+        now - this->policies.applied_at(), this->policies.source(),
+        this->evidence.age(now)};
+}
+
+void companion_flow_core::report_evidence(time_point now)
+{
+    if (!this->current_policy().is_known())
+    {
+        return;
+    }
+    if (const auto change = this->evidence.observe_staleness(now))
+    {
+        this->emit(
+            now, *change, {}, {}, result_code::done,
+            describe_policy(
+                this->current_policy(), this->status_of_policy(now)));
+    }
+}
+
 bool companion_flow_core::on_status(
     time_point now, const upstream_status& status)
 {
@@ -264,10 +291,14 @@
     {
         this->policies.move_to(message.policy);
     }
-    else if (relation == mark_relation::newer)
+    if (relation == mark_relation::newer)
     {
         this->output.fetch_policy(sender);
     }
+    else if (!this->reads_backlog(now))
+    {
+        this->evidence.confirm_by_peer(now, message.policy_evidence_age);
+    }
     if (message.policy.position == this->current_policy().position() &&
         !this->reads_backlog(now))
     {
@@ -278,7 +309,7 @@
         this->output.on_not_listed();
     }
     entry.last_report_at = now;
-    this->output.send(sender, this->report(now));
+    this->send_report(now, sender);
 }
 
 void companion_flow_core::forget_service_counts()
@@ -296,6 +327,7 @@
     {
         this->on_policy_changed(now);
     }
+    this->report_evidence(now);
     if (this->has_left(now))
     {
         this->forget_service_counts();
@@ -323,7 +355,7 @@
             now - item->second.last_report_at > hello_timeout)
         {
             item->second.last_report_at = now;
-            this->output.send(item->first, this->report(now));
+            this->send_report(now, item->first);
         }
         ++item;
     }
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -29,12 +29,15 @@
     entry_flow_output& output,
     flow_event_sink& events)
     : settings(std::move(values)), output(output), events(events),
-      placement(find_placement_rule(this->settings.placement))
+      placement(find_placement_rule(this->settings.placement)),
+      evidence(this->settings.policy_time_limit)
 {
 }
 
 void entry_flow_core::on_policy(
-    time_point now, const std::shared_ptr<const policy>& value)
+    time_point now,
+    const std::shared_ptr<const policy>& value,
+    instance_id source)
 {
     if (this->first_policy_at == time_point{} && value->is_known())
     {
@@ -42,7 +45,7 @@
         this->first_policy_position = value->position();
     }
     const std::shared_ptr<const policy> previous = this->policies.current();
-    const offer_result result = this->policies.offer(now, value);
+    const offer_result result = this->policies.offer(now, value, source);
     if (result.older_version_ignored)
     {
         this->emit(
@@ -78,10 +81,45 @@
 void entry_flow_core::on_policy_changed(time_point now)
 {
     this->emit(
-        now, flow_event_kind::policy_in_force, {}, {}, result_code::done);
+        now, flow_event_kind::policy_in_force, {}, this->policies.source(),
+        result_code::done, 0, 0, {},
+        describe_policy(this->current_policy(), this->status_of_policy(now)));
     this->send_hello_to_all(now);
 }
 
+void entry_flow_core::on_policy_confirmed(time_point now, time_point time)
+{
+    const bool was_due = this->evidence.is_check_due(now);
+    this->evidence.confirm(time);
+    if (was_due && !this->evidence.is_check_due(now))
+    {
+        // Spares the other entries their checks.
+        this->send_hello_to_all(now);
+    }
+}
+
+policy_status entry_flow_core::status_of_policy(time_point now) const
+{
+    return {
+        now - this->policies.applied_at(), this->policies.source(),
+        this->evidence.age(now)};
+}
+
+void entry_flow_core::report_evidence(time_point now)
+{
+    if (!this->current_policy().is_known())
+    {
+        return;
+    }
+    if (const auto change = this->evidence.observe_staleness(now))
+    {
+        this->emit(
+            now, *change, {}, {}, result_code::done, 0, 0, {},
+            describe_policy(
+                this->current_policy(), this->status_of_policy(now)));
+    }
+}
+
 void entry_flow_core::on_listed(time_point now, const companion_record& record)
 {
     if (this->directory.on_listed(now, record))
@@ -259,6 +297,12 @@
     {
         this->on_policy_changed(now);
     }
+    this->report_evidence(now);
+    const auto check_due_at = this->evidence.check_due_at();
+    if (check_due_at && *check_due_at > now)
+    {
+        this->arm_timer(*check_due_at);
+    }
     this->expire_openings(now);
     this->expire_lookups(now);
     this->check_own_link(now);
--- a/src/flow/entry_lookups.cpp
+++ b/src/flow/entry_lookups.cpp
@@ -181,7 +181,7 @@
     if (has_hint)
     {
         item.owner_status = owner_state::unreachable;
-        this->send_first_hello(message.owner);
+        this->send_first_hello(now, message.owner);
     }
     remove(item.pending, sender);
     if (message.answer == ownership::uncertain)
--- a/src/flow/entry_members.cpp
+++ b/src/flow/entry_members.cpp
@@ -156,7 +156,8 @@
                    : flow_event_kind::member_returned,
             {}, sender, message.load.refusal);
     }
-    this->compare_policy(sender, message.policy);
+    this->evidence.set_check_rank(message.entry_rank);
+    this->compare_policy(now, sender, message);
 }
 
 void entry_flow_core::report_outliers(time_point now, instance_id sender)
@@ -173,14 +174,16 @@
 }
 
 void entry_flow_core::compare_policy(
-    instance_id sender, const policy_mark& mark)
+    time_point now, instance_id sender, const companion_report& message)
 {
+    const policy_mark& mark = message.policy;
     switch (this->policies.compare(mark))
     {
-    case mark_relation::nothing_new:
-        break;
     case mark_relation::same_contents:
         this->policies.move_to(mark);
+        [[fallthrough]];
+    case mark_relation::nothing_new:
+        this->evidence.confirm_by_peer(now, message.policy_evidence_age);
         break;
     case mark_relation::newer:
         if (!this->knows_newer_policy() ||
@@ -210,15 +213,15 @@
         member.record.id,
         entry_hello{
             this->current_policy().mark(), member.is_listed, stated.size,
-            stated.digest, member.newest_report});
+            stated.digest, member.newest_report, this->evidence.age(now)});
 }
 
-void entry_flow_core::send_first_hello(instance_id id)
+void entry_flow_core::send_first_hello(time_point now, instance_id id)
 {
     this->output.send(
         id, entry_hello{
                 this->current_policy().mark(), true, 0, 0,
-                this->directory.newest_report(id)});
+                this->directory.newest_report(id), this->evidence.age(now)});
 }
 
 void entry_flow_core::send_due_hellos(time_point now)
--- a/src/flow/policy_succession.cpp
+++ b/src/flow/policy_succession.cpp
@@ -62,6 +62,20 @@
 }
 
 offer_result policy_succession::offer(
+    time_point now,
+    const std::shared_ptr<const policy>& offered,
+    instance_id source)
+{
+    const offer_result result = this->merge(now, offered);
+    if (result.contents_changed)
+    {
+        this->contents_applied_at = now;
+        this->contents_source = source;
+    }
+    return result;
+}
+
+offer_result policy_succession::merge(
     time_point now, const std::shared_ptr<const policy>& offered)
 {
     if (!offered->is_known())
--- a/src/node/companion_node.cpp
+++ b/src/node/companion_node.cpp
@@ -33,6 +33,7 @@
     result.packet_address = settings.packet_address;
     result.status_interval = role.status_interval;
     result.flow_age_limit = settings.flow_age_limit;
+    result.policy_time_limit = settings.policy_time_limit;
     result.process_number = static_cast<std::uint64_t>(
         std::chrono::duration_cast<std::chrono::microseconds>(
             std::chrono::system_clock::now().time_since_epoch())
@@ -222,9 +223,14 @@
 }
 
 void companion_node::apply_policy(
-    time_point now, std::shared_ptr<const policy> value)
+    time_point now, std::shared_ptr<const policy> value, instance_id source)
 {
-    this->core.on_policy(now, value);
+    this->core.on_policy(now, value, source);
+}
+
+policy_status companion_node::status_of_policy(time_point now) const
+{
+    return this->core.status_of_policy(now);
 }
 
 void companion_node::update_gauges(time_point now)
--- a/src/node/companion_node.hpp
+++ b/src/node/companion_node.hpp
@@ -41,8 +41,11 @@
     [[nodiscard]] std::optional<time_point> next_deadline() const override;
     [[nodiscard]] std::chrono::milliseconds tick_interval() const override;
     [[nodiscard]] std::shared_ptr<const policy> shared_policy() const override;
-    void
-    apply_policy(time_point now, std::shared_ptr<const policy> value) override;
+    void apply_policy(
+        time_point now,
+        std::shared_ptr<const policy> value,
+        instance_id source) override;
+    [[nodiscard]] policy_status status_of_policy(time_point now) const override;
     void update_gauges(time_point now) override;
 
     void send_to_upstream(byte_view packet) override;
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -11,15 +11,9 @@
 namespace
 {
 
-/// Duration of one watch call on operators' keys in a small fleet. A connection
-/// that has gone silent is detected only after this time, so it stays below the
-/// time limit for a configuration to take effect.
-constexpr std::chrono::milliseconds policy_watch_timeout{2'500};
-/// With many entries, the watch timeout is this much per entry. Entries pass
-/// new policies on through companions, and the watch of some entry ends within
-/// a fraction of the timeout.
-constexpr std::chrono::milliseconds policy_watch_timeout_per_entry{400};
-constexpr std::chrono::milliseconds max_policy_watch_timeout{10'000};
+/// Duration of one watch call on operators' keys. Changes are noticed sooner:
+/// entries check with the store when none of them has heard from it.
+constexpr std::chrono::milliseconds policy_watch_timeout{20'000};
 /// Operators' changes made within this time are read in one call.
 constexpr std::chrono::milliseconds policy_batching_delay{200};
 /// Watch timeout and batching delay of the list of companions. They may be
@@ -41,10 +35,14 @@
 {
     const std::size_t memory =
         settings.memory_mb == 0 ? default_memory_mb : settings.memory_mb;
-    return {
-        settings.failure_domain,
-        memory * bytes_per_megabyte / flow_memory_divisor / bytes_per_flow,
-        settings.flow_age_limit, settings.placement};
+    entry_flow_settings result;
+    result.failure_domain = settings.failure_domain;
+    result.max_flows =
+        memory * bytes_per_megabyte / flow_memory_divisor / bytes_per_flow;
+    result.flow_age_limit = settings.flow_age_limit;
+    result.placement = settings.placement;
+    result.policy_time_limit = settings.policy_time_limit;
+    return result;
 }
 
 } // namespace
@@ -73,6 +71,9 @@
           { this->on_policy_values(items, position); }),
       exit_timer(context)
 {
+    this->policy_mirror.set_confirmation_handler(
+        [this](time_point time)
+        { this->core.on_policy_confirmed(node_now(), time); });
 }
 
 bool entry_node::open_role(std::string&)
@@ -144,10 +145,10 @@
 void entry_node::on_tick(time_point now)
 {
     this->core.on_tick(now);
-    const auto watch_timeout = policy_watch_timeout_per_entry *
-                               static_cast<int>(this->core.entry_count());
-    this->policy_mirror.set_watch_timeout(std::clamp<std::chrono::milliseconds>(
-        watch_timeout, policy_watch_timeout, max_policy_watch_timeout));
+    if (this->core.is_policy_check_due(now) && this->policy_mirror.check())
+    {
+        this->telemetry.count("policy_checks_total");
+    }
 }
 
 std::optional<time_point> entry_node::next_deadline() const
@@ -166,9 +167,14 @@
 }
 
 void entry_node::apply_policy(
-    time_point now, std::shared_ptr<const policy> value)
+    time_point now, std::shared_ptr<const policy> value, instance_id source)
+{
+    this->core.on_policy(now, value, source);
+}
+
+policy_status entry_node::status_of_policy(time_point now) const
 {
-    this->core.on_policy(now, value);
+    return this->core.status_of_policy(now);
 }
 
 void entry_node::update_gauges(time_point)
@@ -178,6 +184,9 @@
     this->telemetry.set_gauge(
         "companions",
         static_cast<double>(this->core.companions().all().size()));
+    this->telemetry.set_gauge(
+        "policy_checks_failed",
+        static_cast<double>(this->policy_mirror.failed_checks()));
 }
 
 void entry_node::send_packet(const endpoint& companion, byte_view packet)
@@ -239,12 +248,7 @@
     auto value = this->policies.translate(values, reason);
     if (!value)
     {
-        const bool is_absent = reason.code == result_code::config_not_found;
-        log_line(
-            is_absent ? log_level::info : log_level::error, "policy_refused")
-            .field("revision", to_string(position))
-            .field("code", to_string(reason.code))
-            .field("reason", reason.text);
+        this->report_refused_policy("revision", to_string(position), reason);
         return;
     }
     this->log_loaded_policy(position, *value);
--- a/src/node/flow_node.cpp
+++ b/src/node/flow_node.cpp
@@ -27,6 +27,14 @@
 /// Malformed datagrams are logged at most this often.
 constexpr std::chrono::seconds malformed_log_interval{1};
 
+/// Value of the gauge while there is no evidence.
+constexpr double no_evidence = -1;
+
+double in_seconds(duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
 } // namespace
 
 std::string member_prefix()
@@ -101,12 +109,24 @@
         static_cast<double>(this->shared_policy()->position().era));
     this->telemetry.set_gauge(
         "store_era", static_cast<double>(this->store.newest_era().value_or(0)));
+    const policy_status status = this->status_of_policy(node_now());
+    this->telemetry.set_gauge(
+        "policy_version",
+        static_cast<double>(this->shared_policy()->mark().version));
+    this->telemetry.set_gauge(
+        "policy_in_force_seconds", in_seconds(status.in_force_for));
+    this->telemetry.set_gauge(
+        "policy_evidence_age_seconds", status.evidence_age == duration::max()
+                                           ? no_evidence
+                                           : in_seconds(status.evidence_age));
 }
 
 std::string flow_node::metrics_text()
 {
     this->refresh_gauges();
-    return this->telemetry.prometheus();
+    const std::string source = source_text(this->status_of_policy(node_now()));
+    return this->telemetry.prometheus() + "masticslip_policy_source{peer=\"" +
+           source + "\"} 1\n";
 }
 
 void flow_node::log_gauges(time_point now)
@@ -122,6 +142,7 @@
     {
         line.field(name, static_cast<std::int64_t>(value));
     }
+    line.field("policy_source", source_text(this->status_of_policy(now)));
 }
 
 void flow_node::observe_store_era()
@@ -215,11 +236,12 @@
 
 void flow_node::request_policy(instance_id from)
 {
-    if (this->is_fetching_policy)
+    if (!this->policy_requests.empty())
     {
         return;
     }
-    this->is_fetching_policy = true;
+    const time_point now = node_now();
+    this->policy_requests[from] = now;
     asio::co_spawn(this->context, this->fetch_policy(from), asio::detached);
 }
 
@@ -231,7 +253,7 @@
     call.timeout = policy_timeout;
     std::string transport_error;
     const auto response = co_await send_http(call, transport_error);
-    this->is_fetching_policy = false;
+    this->policy_requests.erase(from);
     if (!response || response->result() != http::status::ok)
     {
         log_line(log_level::warning, "policy_fetch_failed")
@@ -246,13 +268,26 @@
     auto value = parse_policy(response->body(), node_now(), reason);
     if (!value)
     {
-        log_line(log_level::error, "policy_refused")
-            .field("peer", to_string(from.address()))
-            .field("code", to_string(reason.code))
-            .field("reason", reason.text);
+        this->report_refused_policy("peer", to_string(from.address()), reason);
         co_return;
     }
-    this->apply_policy(node_now(), std::make_shared<policy>(std::move(*value)));
+    this->apply_policy(
+        node_now(), std::make_shared<policy>(std::move(*value)), from);
+}
+
+void flow_node::report_refused_policy(
+    const char* origin, const std::string& name, const failure_reason& reason)
+{
+    const bool is_absent = reason.code == result_code::config_not_found;
+    if (!is_absent)
+    {
+        this->telemetry.count("policies_refused_total");
+    }
+    log_line(is_absent ? log_level::info : log_level::error, "policy_refused")
+        .field(origin, name)
+        .field("in_force", this->shared_policy()->mark().version)
+        .field("code", to_string(reason.code))
+        .field("reason", reason.text);
 }
 
 http_response flow_node::handle_policy_request(const http_request& request)
--- a/src/node/flow_node.hpp
+++ b/src/node/flow_node.hpp
@@ -3,7 +3,7 @@
 /// policy exchange between peers, timers and metrics.
 
 #include "flow_telemetry.hpp"
-#include "masticslip/flow/policy.hpp"
+#include "masticslip/flow/policy_evidence.hpp"
 #include "masticslip/store/key_value_store.hpp"
 #include "net/datagram_socket.hpp"
 #include "net/http.hpp"
@@ -14,6 +14,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -63,8 +64,12 @@
     [[nodiscard]] virtual std::chrono::milliseconds tick_interval() const = 0;
     [[nodiscard]] virtual std::shared_ptr<const policy>
     shared_policy() const = 0;
-    virtual void
-    apply_policy(time_point now, std::shared_ptr<const policy> value) = 0;
+    virtual void apply_policy(
+        time_point now,
+        std::shared_ptr<const policy> value,
+        instance_id source) = 0;
+    [[nodiscard]] virtual policy_status
+    status_of_policy(time_point now) const = 0;
     virtual void update_gauges(time_point now) = 0;
 
     void send_control(instance_id to, const flow_message& message);
@@ -74,6 +79,13 @@
     /// Requests a peer's policy unless a request is already in progress.
     void request_policy(instance_id from);
 
+    /// Counts and logs a policy that cannot be used. `origin` names where it
+    /// was read.
+    void report_refused_policy(
+        const char* origin,
+        const std::string& name,
+        const failure_reason& reason);
+
     /// Re-arms the timer; call after anything that may have set a deadline.
     void schedule_tick();
 
@@ -110,7 +122,8 @@
     time_point next_tick;
     time_point next_gauge_log;
     time_point last_malformed_log;
-    bool is_fetching_policy = false;
+    /// Start of each policy request in progress.
+    std::map<instance_id, time_point> policy_requests;
     std::optional<std::uint64_t> store_era;
     /// Mark of the policy that was served last, and its document: many peers
     /// fetch the same one.
--- a/src/node/node_settings.hpp
+++ b/src/node/node_settings.hpp
@@ -3,6 +3,7 @@
 
 #include "masticslip/core/types.hpp"
 #include "masticslip/flow/flow_placement.hpp"
+#include "masticslip/flow/policy_evidence.hpp"
 #include "telemetry/log.hpp"
 
 #include <chrono>
@@ -33,6 +34,9 @@
     /// Flows older than this may be evicted when the flow table fills up. A
     /// companion also discards owner hints at this age.
     std::chrono::seconds flow_age_limit{60};
+    /// Time within which a change that operators have written has to be in
+    /// force.
+    std::chrono::milliseconds policy_time_limit = default_policy_time_limit;
     /// Rule by which an entry places new flows.
     std::string placement{default_placement};
     /// Memory limit of the process in megabytes; zero: no limit.
--- a/src/node/store_mirror.hpp
+++ b/src/node/store_mirror.hpp
@@ -4,6 +4,10 @@
 /// Reads the prefix once, then watches for changes. A watch that fails, times
 /// out or is refused is retried; if the store has compacted the history or was
 /// restored from a copy, the whole prefix is read again.
+///
+/// A watch that the store does not answer looks like one without changes until
+/// it times out. A caller that cannot wait that long asks with check(): a call
+/// of its own, which the store answers immediately.
 
 #include "batching_delay.hpp"
 
@@ -15,6 +19,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -33,8 +38,9 @@
 
     struct timing
     {
-        /// How long one call waits for changes. A connection that has gone
-        /// silent is detected after this time.
+        /// Longest time for which one call waits for changes. The time of each
+        /// call is somewhat shorter at random, so that the mirrors of several
+        /// processes do not run in step.
         std::chrono::milliseconds watch_timeout{2'500};
         /// Longest delay after a change, so that changes made in quick
         /// succession are read with one call.
@@ -49,14 +55,8 @@
         change_handler on_change)
         : context(context), store(store), prefix(std::move(prefix)),
           times(times), batching(times.longest_batching_delay),
-          on_change(std::move(on_change))
-    {
-    }
-
-    /// Sets the watch timeout of subsequent calls.
-    void set_watch_timeout(std::chrono::milliseconds timeout)
+          on_change(std::move(on_change)), random(std::random_device{}())
     {
-        this->times.watch_timeout = timeout;
     }
 
     /// Starts reading. Call once.
@@ -68,10 +68,37 @@
         return this->is_loaded;
     }
 
+    /// Asks the store whether it holds changes that are not known here. Does
+    /// nothing and returns false if a check or a read is in progress, or a
+    /// failed call is about to be repeated.
+    bool check();
+
+    /// Sets a function that is called with the latest time at which the store
+    /// is known to have held nothing newer than the values passed last.
+    void set_confirmation_handler(std::function<void(time_point)> handler)
+    {
+        this->on_confirmed = std::move(handler);
+    }
+
+    /// Number of checks that the store did not answer.
+    [[nodiscard]] std::uint64_t failed_checks() const
+    {
+        return this->check_failures;
+    }
+
 private:
-    boost::asio::awaitable<void> run();
+    /// Reads and watches until a later loop is started.
+    boost::asio::awaitable<void> run(std::uint64_t loop);
+    /// Starts a loop; the previous one ends when its call does.
+    void start_loop();
     boost::asio::awaitable<bool> read();
-    boost::asio::awaitable<bool> watch_changes();
+    boost::asio::awaitable<bool> watch_changes(std::uint64_t loop);
+    boost::asio::awaitable<void> ask_for_changes();
+    /// Applies the answer to a check.
+    void on_checked(time_point sent, store_result<store_changes> result);
+    [[nodiscard]] std::chrono::milliseconds next_watch_timeout();
+    /// Makes the next loop read the whole prefix.
+    void reload_after(const char* event, const store_position& found);
     /// True if the store's state at `other` does not follow the one known.
     [[nodiscard]] bool is_other_history(const store_position& other) const;
     void apply(store_changes changes);
@@ -85,12 +112,19 @@
     timing times;
     batching_delay batching;
     change_handler on_change;
+    std::function<void(time_point)> on_confirmed = [](time_point) {
+    };
     std::map<std::string, std::string> values;
     store_position position;
     bool is_loaded = false;
     bool needs_reload = true;
     unsigned failures = 0;
-    std::chrono::steady_clock::time_point outage_start;
+    time_point outage_start;
+    time_point last_failure;
+    bool is_checking = false;
+    std::uint64_t check_failures = 0;
+    std::uint64_t current_loop = 0;
+    std::minstd_rand random;
 };
 
 } // namespace masticslip
--- a/src/wire/flow_message_codec.cpp
+++ b/src/wire/flow_message_codec.cpp
@@ -132,6 +132,7 @@
     archive.plain(message.service_size);
     archive.plain(message.service_digest);
     report_order_field(archive, message.newest_report);
+    microseconds_field(archive, message.policy_evidence_age);
 }
 
 template <class Archive, is_message<companion_report> Message>
@@ -152,6 +153,8 @@
     report_order_field(archive, message.order);
     former_targets_field(archive, message.former_targets);
     archive.plain(message.may_hold_other_flows);
+    microseconds_field(archive, message.policy_evidence_age);
+    archive.plain(message.entry_rank);
 }
 
 template <class Archive, is_message<flow_opened> Message>
--- a/src/wire/flow_message_codec_test.cpp
+++ b/src/wire/flow_message_codec_test.cpp
@@ -30,7 +30,7 @@
 const policy_mark mark{{3, 77}, 2, 9, 11, 12};
 
 const std::vector<flow_message> messages{
-    entry_hello{mark, false, 7, 8, {21, 22}},
+    entry_hello{mark, false, 7, 8, {21, 22}, std::chrono::milliseconds(1'250)},
     companion_report{
         "side-1",
         "meetups",
@@ -46,7 +46,9 @@
         true,
         {23, 24},
         {{0xC6120001, 443}, {0xC6120002, 8'443}},
-        true},
+        true,
+        std::chrono::milliseconds(480),
+        2},
     flow_opened{flow, 99, load},
     flow_refused{flow, result_code::not_run_overloaded, load},
     owner_query{flow, 12},
--- a/standins/flow/virtual_fleet_store.cpp
+++ b/standins/flow/virtual_fleet_store.cpp
@@ -51,12 +51,49 @@
     this->current_policy =
         std::make_shared<policy>(this->position, std::move(value));
     this->keep_copy();
+    if (this->queue.now() < this->watches_silent_until)
+    {
+        return;
+    }
     for (std::size_t i = 0; i < this->entries.size(); ++i)
     {
         this->queue.after(store_delay, [this, i] { this->sync_store(i); });
     }
 }
 
+void virtual_flow_fleet::silence_watches(std::chrono::milliseconds time)
+{
+    this->watches_silent_until = this->queue.now() + time;
+}
+
+void virtual_flow_fleet::check_policy(std::size_t index)
+{
+    entry_process& process = *this->entries[index];
+    if (process.is_checking ||
+        !process.core->is_policy_check_due(this->queue.now()))
+    {
+        return;
+    }
+    process.is_checking = true;
+    ++this->check_count;
+    this->queue.after(
+        store_delay,
+        [this, &process]
+        {
+            process.is_checking = false;
+            if (this->store_up && !process.is_denied_by_store)
+            {
+                this->run_on(
+                    process,
+                    [this, &process](time_point now)
+                    {
+                        process.core->on_policy(now, this->current_policy);
+                        process.core->on_policy_confirmed(now, now);
+                    });
+            }
+        });
+}
+
 void virtual_flow_fleet::keep_copy()
 {
     this->copies[this->queue.now()] = {this->current_policy, this->registered};
@@ -86,6 +123,7 @@
                 return;
             }
             process.core->on_policy(now, this->current_policy);
+            process.core->on_policy_confirmed(now, now);
             for (const instance_id id : this->registered)
             {
                 const auto& companion =
--- a/standins/flow/virtual_flow_fleet.cpp
+++ b/standins/flow/virtual_flow_fleet.cpp
@@ -275,6 +275,7 @@
     {
         process.core->on_tick(this->queue.now());
         this->check_version(process);
+        this->check_policy(index);
     }
     const auto ticks = (this->queue.now().time_since_epoch() / core_tick);
     if (ticks % (readiness_probe_interval / core_tick) == 0)
--- a/standins/flow/virtual_flow_fleet.hpp
+++ b/standins/flow/virtual_flow_fleet.hpp
@@ -115,6 +115,8 @@
     void stop_store_and_end_leases(std::chrono::milliseconds time);
     /// The store ends the lease of this companion and turns it away.
     void turn_away_companion(std::size_t index, std::chrono::milliseconds time);
+    /// The store reports no changes for this long; it answers other calls.
+    void silence_watches(std::chrono::milliseconds time);
     /// Makes the store unavailable to this entry.
     void turn_away_entry(std::size_t index, std::chrono::milliseconds time);
     /// The store is away for a moment and returns from a copy of `age` ago, in
@@ -162,6 +164,12 @@
     /// withdrawals.
     [[nodiscard]] bool is_policy_everywhere() const;
 
+    /// Checks for newer policies that entries have made so far.
+    [[nodiscard]] std::uint64_t policy_checks() const
+    {
+        return this->check_count;
+    }
+
     /// Number of companions that the store lists.
     [[nodiscard]] std::size_t registered_count() const
     {
@@ -222,6 +230,8 @@
     void lose_recent_writes(std::chrono::milliseconds age);
     void sync_all_entries();
     void sync_store(std::size_t index);
+    /// Asks the store for newer policies if the entry's evidence is too old.
+    void check_policy(std::size_t index);
     void fetch(instance_id from, instance_id to);
     [[nodiscard]] bool is_reachable(instance_id from, instance_id to) const;
     [[nodiscard]] duration delay(std::uint32_t from, std::uint32_t to) const;
@@ -256,6 +266,8 @@
     store_position position;
     generation version = 0;
     std::uint64_t control_count = 0;
+    std::uint64_t check_count = 0;
+    time_point watches_silent_until;
     bool store_up = true;
     promise_checker checker;
 };
--- a/standins/flow/virtual_processes.hpp
+++ b/standins/flow/virtual_processes.hpp
@@ -57,6 +57,7 @@
     bool in_rotation = true;
     bool is_stopping = false;
     bool is_denied_by_store = false;
+    bool is_checking = false;
     int failed_probes = 0;
     /// Version of the policy in force at the last tick.
     generation last_version = 0;
--- a/standins/platform/store_server.cpp
+++ b/standins/platform/store_server.cpp
@@ -215,13 +215,7 @@
         stream.socket().close();
         co_return std::nullopt;
     case store_fault::silent:
-    {
-        asio::steady_timer timer(this->context, unlimited);
-        boost::system::error_code ended;
-        co_await timer.async_wait(
-            asio::redirect_error(asio::use_awaitable, ended));
-        co_return std::nullopt;
-    }
+        co_return co_await this->stay_silent();
     case store_fault::lost:
         co_await this->handle(request);
         stream.socket().close();
@@ -246,6 +240,14 @@
     co_return co_await this->handle(request);
 }
 
+store_server::answer store_server::stay_silent()
+{
+    asio::steady_timer timer(this->context, unlimited);
+    boost::system::error_code ended;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ended));
+    co_return std::nullopt;
+}
+
 asio::awaitable<void> store_server::handle_later(http_request request)
 {
     asio::steady_timer timer(this->context, this->delay);
@@ -363,8 +365,13 @@
     const auto end = std::chrono::steady_clock::now() +
                      std::chrono::milliseconds(
                          parse_number(query_parameter(request, "wait_ms")));
+    const std::uint64_t generation = this->silenced_generation;
     for (;;)
     {
+        if (generation != this->silenced_generation)
+        {
+            co_return co_await this->stay_silent();
+        }
         this->expire_leases();
         const bool is_unknown =
             after + 1 < this->oldest_revision || after > this->revision;
--- a/standins/platform/store_server.hpp
+++ b/standins/platform/store_server.hpp
@@ -58,6 +58,12 @@
     /// with 410.
     void compact();
 
+    /// Connections of calls that wait for changes go silent for good.
+    void silence_waiting_calls()
+    {
+        ++this->silenced_generation;
+    }
+
     /// Expires all leases and removes their keys.
     void expire_all_leases();
 
@@ -157,6 +163,7 @@
     answer handle(const http_request& request);
     boost::asio::awaitable<void> handle_later(http_request request);
     answer wait_for_changes(const http_request& request);
+    answer stay_silent();
     http_response read_range(const http_request& request);
     http_response apply_transaction(const http_request& request);
     http_response grant_or_renew_lease(const http_request& request);
@@ -174,6 +181,8 @@
     std::map<std::string, item> items;
     std::map<std::uint64_t, std::chrono::steady_clock::time_point> leases;
     std::deque<change> history;
+    /// Calls that began to wait in an earlier generation are not answered.
+    std::uint64_t silenced_generation = 0;
     std::uint64_t revision = 1;
     std::uint64_t oldest_revision = 1;
     std::uint64_t next_lease = 77'000;
