Ask another peer for a policy when the first one takes long

Cause: a process fetched one policy at a time, and a fetch lasts up to 21 s as long as each second brings a byte. A companion that happened to ask an entry with a full link did not take the newer policy of any other. Change: half a second after the last request the next peer that has a newer policy is asked, too; at most four requests at a time, one to a peer.

--- a/src/node/flow_node.cpp
+++ b/src/node/flow_node.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
+
 namespace masticslip
 {
 
@@ -22,6 +24,10 @@
 constexpr char policy_path[] = "/policy";
 constexpr char metrics_path[] = "/metrics";
 constexpr std::chrono::milliseconds policy_timeout{1'000};
+/// A request for a policy that takes longer than this may come from a peer with
+/// a busy link: the next peer that has a newer policy is asked, too.
+constexpr std::chrono::milliseconds policy_request_patience{500};
+constexpr std::size_t max_policy_requests = 4;
 /// Gauges are also logged at this interval, for deployments without metrics.
 constexpr std::chrono::seconds gauge_log_interval{10};
 /// Malformed datagrams are logged at most this often.
@@ -236,11 +242,16 @@
 
 void flow_node::request_policy(instance_id from)
 {
-    if (!this->policy_requests.empty())
+    const time_point now = node_now();
+    const bool is_recent = std::any_of(
+        this->policy_requests.begin(), this->policy_requests.end(),
+        [now](const auto& item)
+        { return now - item.second < policy_request_patience; });
+    if (is_recent || this->policy_requests.contains(from) ||
+        this->policy_requests.size() >= max_policy_requests)
     {
         return;
     }
-    const time_point now = node_now();
     this->policy_requests[from] = now;
     asio::co_spawn(this->context, this->fetch_policy(from), asio::detached);
 }
--- a/src/node/flow_node.hpp
+++ b/src/node/flow_node.hpp
@@ -76,7 +76,8 @@
 
     void send_reset(const flow_endpoints& flow, std::uint32_t sequence);
 
-    /// Requests a peer's policy unless a request is already in progress.
+    /// Requests a peer's policy unless a request to it, or a recent one to
+    /// another peer, is in progress.
     void request_policy(instance_id from);
 
     /// Counts and logs a policy that cannot be used. `origin` names where it
