Leave out odd entries of the store, and keep following the others

Change: policy_source::read() leaves out each entry that cannot be used, with its key and reason; a former configuration that was usable stays while the newest is not. refused_entries logs and counts each value once. Bounds stand in configuration_bounds.hpp for all readers; what is beyond is limited and logged (policy_limited). Answers of the store may hold invalid UTF-8.

--- a/fuzz/flow_targets.cpp
+++ b/fuzz/flow_targets.cpp
@@ -4,12 +4,16 @@
 #include "log_story.hpp"
 #include "masticslip/wire/flow_message_codec.hpp"
 #include "node/member_document.hpp"
+#include "node/policy_document.hpp"
 #include "operator_documents.hpp"
 #include "packet_header.hpp"
 #include "platform/tests/samples.hpp"
 #include "settings_file.hpp"
 #include "upstream_status_endpoint.hpp"
 
+#include <cstdlib>
+#include <iostream>
+
 namespace masticslip::testing
 {
 
@@ -118,6 +122,31 @@
     }
 }
 
+namespace
+{
+
+/// Keys of the store have at most 200 bytes.
+constexpr std::size_t max_key_part = 188;
+
+/// Ends the program unless companions take what an entry has read.
+void check_is_taken_by_peers(const policy_reading& reading)
+{
+    if (!reading.value)
+    {
+        return;
+    }
+    failure_reason reason;
+    const time_point now{};
+    if (!parse_policy(
+            serialize_policy(policy({0, 1}, *reading.value), now), now, reason))
+    {
+        std::cerr << "refused by peers: " << reason.text << '\n';
+        std::abort();
+    }
+}
+
+} // namespace
+
 void fuzz_platform(mutator& inputs, std::size_t count)
 {
     const platform::packet_header_codec codec;
@@ -144,9 +173,13 @@
         inputs, count, document_text,
         [&documents](const std::string& text)
         {
-            failure_reason reason;
-            static_cast<void>(documents.translate(
-                {{"op/config", text}, {"op/evacuate/z", text}}, reason));
+            std::map<std::string, std::string> accepted{
+                {"op/config", document_text}};
+            const policy_reading reading = documents.read(
+                {{"op/config", text},
+                 {"op/evacuate/" + text.substr(0, max_key_part), ""}},
+                accepted);
+            check_is_taken_by_peers(reading);
         });
     fuzz_text(
         inputs, count, settings_text,
--- a/src/core/configuration_reader.cpp
+++ b/src/core/configuration_reader.cpp
@@ -4,9 +4,9 @@
 
 #include "configuration_format.hpp"
 #include "json_reader.hpp"
+#include "masticslip/core/configuration_bounds.hpp"
 
 #include <algorithm>
-#include <limits>
 
 namespace masticslip::detail
 {
@@ -19,10 +19,6 @@
 constexpr std::uint64_t max_weight = 100;
 constexpr std::uint64_t max_choice_width = 5;
 constexpr std::uint64_t max_in_flight_limit = 1000;
-constexpr std::uint64_t max_flows_limit = 1'000'000;
-constexpr std::uint64_t max_cold_rate = 1'000'000;
-constexpr std::uint64_t max_time_limit_ms = 86'400'000;
-constexpr std::uint64_t max_priority = 1'000;
 
 endpoint read_address(json_reader& reader)
 {
@@ -41,7 +37,7 @@
 read_milliseconds(json_reader& reader, std::string_view key)
 {
     return std::chrono::milliseconds(
-        reader.number(key, 0, max_time_limit_ms, 0));
+        reader.number(key, 0, max_time_limit.count(), 0));
 }
 
 route_definition read_route(
@@ -199,8 +195,7 @@
     json_reader reader(root, "$", faults);
     configuration result;
     reader.number("schema", schema_version, schema_version, {});
-    result.number = reader.number(
-        "generation", 0, std::numeric_limits<std::int64_t>::max(), 0);
+    result.number = reader.number("generation", 0, max_generation, 0);
     result.change = read_change(reader.member("change", false), faults);
     const auto* services = reader.array("services", true);
     for (std::size_t i = 0; services != nullptr && i < services->size(); ++i)
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -221,9 +221,13 @@
         const auto record = parse_member(text, reason);
         if (!record)
         {
-            log_line(log_level::warning, "member_refused")
-                .field("key", key)
-                .field("reason", reason.text);
+            if (this->refused_members.add(key, text))
+            {
+                this->telemetry.count("members_refused_total");
+                log_line(log_level::warning, "member_refused")
+                    .field("key", key)
+                    .field("reason", reason.text);
+            }
             continue;
         }
         current.insert(record->id);
@@ -236,6 +240,7 @@
             this->core.on_unlisted(now, id);
         }
     }
+    this->refused_members.forget_missing(values);
     this->registered_ids = std::move(current);
     this->core.on_list_read(now);
 }
@@ -244,16 +249,32 @@
     const std::map<std::string, std::string>& values,
     const store_position& position)
 {
-    failure_reason reason;
-    auto value = this->policies.translate(values, reason);
-    if (!value)
+    policy_reading reading =
+        this->policies.read(values, this->accepted_policy_values);
+    for (const refused_entry& item : reading.refused)
+    {
+        const auto found = values.find(item.key);
+        if (this->refused_policy_entries.add(
+                item.key, found == values.end() ? "" : found->second))
+        {
+            this->report_refused_policy("key", item.key, item.reason);
+        }
+    }
+    this->refused_policy_entries.forget_missing(values);
+    if (!reading.value)
     {
-        this->report_refused_policy("revision", to_string(position), reason);
         return;
     }
-    this->log_loaded_policy(position, *value);
+    this->log_loaded_policy(position, *reading.value);
+    for (const std::string& name : reading.limited)
+    {
+        log_line(log_level::warning, "policy_limited")
+            .field("revision", to_string(position))
+            .field("member", name);
+    }
     this->core.on_policy(
-        node_now(), std::make_shared<policy>(position, std::move(*value)));
+        node_now(),
+        std::make_shared<policy>(position, std::move(*reading.value)));
 }
 
 void entry_node::log_loaded_policy(
--- a/src/node/entry_node.hpp
+++ b/src/node/entry_node.hpp
@@ -5,6 +5,7 @@
 #include "flow_node.hpp"
 #include "masticslip/flow/entry_flow_core.hpp"
 #include "policy_source.hpp"
+#include "refused_entries.hpp"
 #include "store_mirror.hpp"
 
 #include <set>
@@ -63,6 +64,10 @@
     store_mirror member_mirror;
     store_mirror policy_mirror;
     std::set<instance_id> registered_ids;
+    refused_entries refused_members;
+    refused_entries refused_policy_entries;
+    /// See policy_source::read().
+    std::map<std::string, std::string> accepted_policy_values;
     boost::asio::steady_timer exit_timer;
     bool stopping = false;
 };
--- a/src/node/flow_node.cpp
+++ b/src/node/flow_node.cpp
@@ -115,6 +115,12 @@
         static_cast<double>(this->shared_policy()->position().era));
     this->telemetry.set_gauge(
         "store_era", static_cast<double>(this->store.newest_era().value_or(0)));
+    const configuration& contents = this->shared_policy()->value();
+    this->telemetry.set_gauge(
+        "policy_routes", static_cast<double>(contents.routes.size()));
+    this->telemetry.set_gauge(
+        "policy_withdrawn_domains",
+        static_cast<double>(contents.withdrawn_domains.size()));
     const policy_status status = this->status_of_policy(node_now());
     this->telemetry.set_gauge(
         "policy_version",
--- a/src/node/member_document.cpp
+++ b/src/node/member_document.cpp
@@ -10,6 +10,9 @@
 namespace
 {
 
+/// Longest name that a report of a companion carries.
+constexpr std::size_t max_name_size = 64;
+
 /// Returns a string member; empty if it is missing or of another type.
 std::string string_member(const json::object& object, const char* key)
 {
@@ -18,6 +21,15 @@
     return text == nullptr ? std::string() : std::string(*text);
 }
 
+/// Returns an address to which datagrams can be sent, or nullopt.
+std::optional<endpoint>
+address_member(const json::object& object, const char* key)
+{
+    const auto result = parse_endpoint(string_member(object, key));
+    return result && result->port != 0 && result->address != 0 ? result
+                                                               : std::nullopt;
+}
+
 } // namespace
 
 std::string serialize_member(const companion_record& record)
@@ -41,17 +53,23 @@
         reason = {result_code::dropped_malformed, "not a JSON object"};
         return std::nullopt;
     }
-    const auto control = parse_endpoint(string_member(*object, "control"));
-    const auto packets = parse_endpoint(string_member(*object, "packets"));
+    const auto control = address_member(*object, "control");
+    const auto packets = address_member(*object, "packets");
     companion_record record;
     record.name = string_member(*object, "name");
     record.service = string_member(*object, "service");
     record.failure_domain = string_member(*object, "failure_domain");
-    if (!control || !packets || record.service.empty())
+    const bool has_names = !record.service.empty() &&
+                           record.service.size() <= max_name_size &&
+                           record.name.size() <= max_name_size &&
+                           record.failure_domain.size() <= max_name_size;
+    if (!control || !packets || !has_names)
     {
         reason = {
             result_code::dropped_malformed,
-            "control and packets must be addresses, and service must be set"};
+            "control and packets must be addresses, service must be set, and "
+            "names must not be longer than " +
+                std::to_string(max_name_size) + " bytes"};
         return std::nullopt;
     }
     record.id = {control->packed()};
--- a/src/node/policy_source.hpp
+++ b/src/node/policy_source.hpp
@@ -8,10 +8,29 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace masticslip
 {
 
+/// An entry of the store that cannot be used, and why.
+struct refused_entry
+{
+    std::string key;
+    failure_reason reason;
+};
+
+/// What the operators' entries say.
+struct policy_reading
+{
+    /// Nullopt if there is no usable configuration.
+    std::optional<configuration> value;
+    /// Entries that were left out.
+    std::vector<refused_entry> refused;
+    /// Names of members whose value was limited to its bound.
+    std::vector<std::string> limited;
+};
+
 /// Translates the platform's policy documents. Thread-safe.
 class policy_source
 {
@@ -21,11 +40,13 @@
     /// Prefix of all keys that operators write.
     [[nodiscard]] virtual std::string prefix() const = 0;
 
-    /// Builds the configuration from the values by key. Returns nullopt and a
-    /// reason if there is none or it is invalid.
-    [[nodiscard]] virtual std::optional<configuration> translate(
+    /// Builds the configuration from the values by key. An entry that cannot be
+    /// used is left out; the others take effect. `accepted` holds the last
+    /// usable values between calls: they replace entries of which exactly one
+    /// is required.
+    [[nodiscard]] virtual policy_reading read(
         const std::map<std::string, std::string>& values,
-        failure_reason& reason) const = 0;
+        std::map<std::string, std::string>& accepted) const = 0;
 };
 
 } // namespace masticslip
