--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -213,4 +213,14 @@
     this->write_configuration();
 }
 
+void soak_world::write_entry(const std::string& key, const std::string& value)
+{
+    this->store.write(key, value);
+}
+
+std::string soak_world::log_file(std::size_t index) const
+{
+    return this->nodes.at(index)->process->log_file();
+}
+
 } // namespace masticslip::soak
--- a/soak/soak_world.hpp
+++ b/soak/soak_world.hpp
@@ -124,6 +124,11 @@
     void restore(std::uint32_t domain);
     /// Writes a new configuration with a different time limit.
     void change_configuration();
+    /// Another writer writes an entry of the store.
+    void write_entry(const std::string& key, const std::string& value);
+
+    /// Log file of a process.
+    [[nodiscard]] std::string log_file(std::size_t index) const;
 
     [[nodiscard]] const standin::promise_checker& checker() const
     {
