Take no evidence from messages that waited during a freeze

Cause: an entry that was suspended reads the reports of that time as if they had just been sent, and would pass their evidence on as fresh. Change: for 100 ms after a gap of a second no evidence is taken over, as companions do already.

--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -17,7 +17,9 @@
 /// query a bounded number of them; a flow beyond these is not found, and never
 /// reset.
 
+#include "masticslip/core/detail/freeze_detector.hpp"
 #include "masticslip/flow/companion_directory.hpp"
+#include "masticslip/flow/entry_flow_settings.hpp"
 #include "masticslip/flow/flow_event.hpp"
 #include "masticslip/flow/flow_loss.hpp"
 #include "masticslip/flow/flow_placement.hpp"
@@ -57,24 +59,6 @@
     virtual void fetch_policy(instance_id from) = 0;
 };
 
-/// Identity, limits and placement settings of an entry.
-struct entry_flow_settings
-{
-    std::string failure_domain;
-    /// Maximum number of cached flows. Beyond it, closing flows and those
-    /// older than `flow_age_limit` are evicted: they can be looked up.
-    std::size_t max_flows = 200'000;
-    std::chrono::seconds flow_age_limit{60};
-    /// A name of placement_rule_names().
-    std::string placement{default_placement};
-    /// Fraction of a route's time limit for which an opening may wait for
-    /// capacity. The rest leaves time for the answer, or for the caller to use
-    /// an alternative. Zero: openings are rejected immediately.
-    double wait_share = 0.4;
-    /// Time within which a change of the policy has to be in force.
-    std::chrono::milliseconds policy_time_limit = default_policy_time_limit;
-};
-
 /// Not thread-safe; times must not decrease.
 class entry_flow_core
 {
@@ -153,13 +137,6 @@
         return this->directory;
     }
 
-    /// Number of entries in contact with a companion, including this one; zero:
-    /// not known.
-    [[nodiscard]] std::uint32_t entry_count() const
-    {
-        return this->reported_entry_count;
-    }
-
     [[nodiscard]] std::size_t flow_count() const
     {
         return this->flows.size();
@@ -343,6 +320,10 @@
     void on_policy_changed(time_point now);
     /// Emits an event when the evidence becomes stale or fresh again.
     void report_evidence(time_point now);
+    /// Call first with each event.
+    void observe(time_point now);
+    /// True just after a freeze, while messages from before its end are read.
+    [[nodiscard]] bool reads_backlog(time_point now) const;
     [[nodiscard]] bool is_retry_safe(const flow_endpoints& flow) const;
     [[nodiscard]] bool has_reached_wait_limit(
         time_point now, const flow_endpoints& flow, const opening& item) const;
@@ -479,6 +460,9 @@
     const placement_rule* placement;
     policy_succession policies;
     policy_evidence evidence;
+    detail::freeze_detector freeze;
+    /// End of the last freeze.
+    std::optional<time_point> resumed_at;
     /// The reported mark with the highest position that was newer than the
     /// policy in force.
     std::optional<policy_mark> newest_reported_policy;
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -21,6 +21,10 @@
 constexpr std::chrono::seconds closing_limit{5};
 constexpr std::chrono::seconds default_idle_limit{15};
 constexpr std::chrono::milliseconds sweep_interval{500};
+/// A process without any event for this long was suspended.
+constexpr std::chrono::milliseconds freeze_limit{1'000};
+/// What is read this soon after a freeze may have been sent during it.
+constexpr std::chrono::milliseconds backlog_time{100};
 
 } // namespace
 
@@ -30,7 +34,8 @@
     flow_event_sink& events)
     : settings(std::move(values)), output(output), events(events),
       placement(find_placement_rule(this->settings.placement)),
-      evidence(this->settings.policy_time_limit)
+      evidence(this->settings.policy_time_limit),
+      freeze(freeze_limit, this->settings.policy_time_limit)
 {
 }
 
@@ -269,6 +274,7 @@
 void entry_flow_core::on_message(
     time_point now, instance_id sender, const flow_message& message)
 {
+    this->observe(now);
     this->contact.on_message_received(now);
     this->directory.on_message_received(sender);
     if (const auto* report = std::get_if<companion_report>(&message))
@@ -290,8 +296,22 @@
     }
 }
 
+void entry_flow_core::observe(time_point now)
+{
+    if (this->freeze.observe(now))
+    {
+        this->resumed_at = now;
+    }
+}
+
+bool entry_flow_core::reads_backlog(time_point now) const
+{
+    return this->resumed_at && now - *this->resumed_at < backlog_time;
+}
+
 void entry_flow_core::on_tick(time_point now)
 {
+    this->observe(now);
     this->earliest_deadline.reset();
     if (this->policies.expire(now))
     {
--- a/src/flow/entry_members.cpp
+++ b/src/flow/entry_members.cpp
@@ -183,7 +183,10 @@
         this->policies.move_to(mark);
         [[fallthrough]];
     case mark_relation::nothing_new:
-        this->evidence.confirm_by_peer(now, message.policy_evidence_age);
+        if (!this->reads_backlog(now))
+        {
+            this->evidence.confirm_by_peer(now, message.policy_evidence_age);
+        }
         break;
     case mark_relation::newer:
         if (!this->knows_newer_policy() ||
--- a/tests/flow/policy_evidence_test.cpp
+++ b/tests/flow/policy_evidence_test.cpp
@@ -118,6 +118,23 @@
         (core.status_of_policy(at(1'000ms)).evidence_age == duration::max()));
 }
 
+// A report that has waited in the socket is older than it says.
+BOOST_FIXTURE_TEST_CASE(
+    an_entry_takes_no_evidence_from_before_the_end_of_a_freeze, entry_fixture)
+{
+    make_ready(1);
+    core.on_policy_confirmed(at(0ms), at(0ms));
+    core.on_tick(at(100ms));
+    companion_report report = ready_report(1);
+    report.policy = core.current_policy().mark();
+    report.policy_evidence_age = 0ms;
+    core.on_message(at(4'000ms), companion(1), report);
+    BOOST_TEST((core.status_of_policy(at(4'000ms)).evidence_age == 4'000ms));
+    BOOST_TEST(core.is_policy_check_due(at(4'000ms)));
+    core.on_message(at(4'100ms), companion(1), report);
+    BOOST_TEST((core.status_of_policy(at(4'100ms)).evidence_age == 0ms));
+}
+
 BOOST_FIXTURE_TEST_CASE(
     an_entry_passes_on_what_the_store_has_confirmed, entry_fixture)
 {
