Keep the watch's position when a check finds no change

Cause: an empty answer to a check moved the position from which the next watch starts. A change that the store had not told yet, and then dropped with its history, would have been missed without a read of all keys. Change: only answers with changes move the position.

--- a/soak/tests/odd_entry_process_test.cpp
+++ b/soak/tests/invalid_entry_process_test.cpp
@@ -1,7 +1,7 @@
-// Odd entries of another writer in the store, with real processes: none ends,
-// and what is written afterwards is in force.
+// Invalid entries of another writer in the store, with real processes: none
+// ends, and what is written afterwards is in force.
 
-#include "odd_texts.hpp"
+#include "invalid_texts.hpp"
 #include "soak_world.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -42,7 +42,7 @@
     {
         settings.program = MASTICSLIP_NODE_PROGRAM;
         settings.folder = (std::filesystem::temp_directory_path() /
-                           ("masticslip-odd-" + std::to_string(::getpid())))
+                           ("masticslip-invalid-" + std::to_string(::getpid())))
                               .string();
         std::filesystem::create_directories(settings.folder);
         world = std::make_unique<soak_world>(settings);
@@ -62,13 +62,13 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(odd_entries_of_processes)
+BOOST_AUTO_TEST_SUITE(invalid_entries_of_processes)
 
 BOOST_FIXTURE_TEST_CASE(no_process_ends_or_ceases_to_follow, world_fixture)
 {
     world->start_load(4s + time_limit);
-    const auto members = odd_members();
-    const auto configurations = odd_configurations();
+    const auto members = invalid_members();
+    const auto configurations = invalid_configurations();
     world->at(
         500ms,
         [&]
@@ -79,7 +79,7 @@
                     "masticslip/companions/a" + std::to_string(i),
                     members[i].text);
             }
-            for (const odd_text& domain : odd_domains())
+            for (const invalid_text& domain : invalid_domains())
             {
                 world->write_entry("op/evacuate/" + domain.text, "{}");
             }
--- a/src/node/store_mirror.cpp
+++ b/src/node/store_mirror.cpp
@@ -93,18 +93,17 @@
 
 asio::awaitable<bool> store_mirror::watch_changes(std::uint64_t loop)
 {
-    const store_position known = this->position;
     const std::chrono::milliseconds wait = this->next_watch_timeout();
     const time_point sent = node_now();
     auto result = co_await this->store.wait_for_changes(
-        this->prefix, known.revision, wait);
+        this->prefix, this->position.revision, wait);
     if (loop != this->current_loop)
     {
         co_return true;
     }
     if (result.status == store_status::compacted)
     {
-        this->reload_after("history_dropped", known);
+        this->reload_after("history_dropped", this->position);
         co_return true;
     }
     if (!result.value)
@@ -113,14 +112,6 @@
         co_return false;
     }
     this->record_success();
-    const bool is_overtaken = this->position != known &&
-                              result.value->position.era == known.era &&
-                              result.value->position < this->position;
-    if (is_overtaken)
-    {
-        // A check was answered later than the watch.
-        co_return true;
-    }
     if (this->is_other_history(result.value->position))
     {
         this->reload_after("history_replaced", result.value->position);
@@ -195,16 +186,17 @@
         this->start_loop();
         return;
     }
-    const bool has_changes = !result.value->events.empty();
-    this->apply(std::move(*result.value));
-    if (has_changes)
+    if (!result.value->events.empty())
     {
+        this->apply(std::move(*result.value));
         log_line(log_level::warning, "watch_silent")
             .field("prefix", this->prefix)
             .field("position", to_string(this->position));
         this->on_change(this->values, this->position);
         this->start_loop();
     }
+    // Without changes the position stays that of the watch, which reads all
+    // keys again if it has missed a change that is gone from the history.
     this->on_confirmed(sent);
 }
 
--- a/tests/flow/late_policy_fleet_test.cpp
+++ b/tests/flow/late_policy_fleet_test.cpp
@@ -18,6 +18,13 @@
 /// A check is answered at once here, and nothing is lost.
 constexpr std::uint64_t max_checks_per_second = 2;
 
+fleet_shape fleet_with(std::uint32_t entries)
+{
+    fleet_shape result = small_fleet();
+    result.entries = entries;
+    return result;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(late_policy_fleet)
@@ -27,9 +34,7 @@
     boost::unit_test::data::make({1U, 4U, 17U, 26U}),
     entries)
 {
-    fleet_shape shape = small_fleet();
-    shape.entries = entries;
-    virtual_flow_fleet fleet(shape, entries);
+    virtual_flow_fleet fleet(fleet_with(entries), entries);
     fleet.run(5s);
     fleet.silence_watches(silence);
     fleet.run(3s);
@@ -44,9 +49,7 @@
     boost::unit_test::data::make({1U, 4U, 17U, 26U}),
     entries)
 {
-    fleet_shape shape = small_fleet();
-    shape.entries = entries;
-    virtual_flow_fleet fleet(shape, entries);
+    virtual_flow_fleet fleet(fleet_with(entries), entries);
     fleet.run(5s);
     fleet.silence_watches(silence);
     const std::uint64_t before = fleet.policy_checks();
@@ -57,8 +60,7 @@
 BOOST_AUTO_TEST_CASE(
     an_entry_that_the_store_turns_away_leaves_checks_to_the_others)
 {
-    fleet_shape shape = small_fleet();
-    virtual_flow_fleet fleet(shape, 5);
+    virtual_flow_fleet fleet(small_fleet(), 5);
     fleet.run(5s);
     fleet.silence_watches(silence);
     fleet.turn_away_entry(0, silence);
