Use a former configuration only if no version was missed since

Cause: while op/config was invalid, an entry kept the last usable version at the position of the invalid one. Had it missed a version in between, peers would have taken the older one for the newest.

--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -249,6 +249,11 @@
     const std::map<std::string, std::string>& values,
     const store_position& position)
 {
+    if (!this->policy_mirror.has_seen_all_values())
+    {
+        // Peers may have a usable value that was written and replaced since.
+        this->accepted_policy_values.clear();
+    }
     policy_reading reading =
         this->policies.read(values, this->accepted_policy_values);
     for (const refused_entry& item : reading.refused)
--- a/src/node/policy_source.hpp
+++ b/src/node/policy_source.hpp
@@ -43,7 +43,8 @@
     /// Builds the configuration from the values by key. An entry that cannot be
     /// used is left out; the others take effect. `accepted` holds the last
     /// usable values between calls: they replace entries of which exactly one
-    /// is required.
+    /// is required. Clear it if a value was missed since: an older
+    /// configuration at a newer position would replace that of peers.
     [[nodiscard]] virtual policy_reading read(
         const std::map<std::string, std::string>& values,
         std::map<std::string, std::string>& accepted) const = 0;
--- a/src/node/store_mirror.cpp
+++ b/src/node/store_mirror.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace masticslip
@@ -86,6 +87,7 @@
     this->position = result.value->position;
     this->needs_reload = false;
     this->is_loaded = true;
+    this->is_gapless = false;
     this->on_change(this->values, this->position);
     this->on_confirmed(sent);
     co_return true;
@@ -225,8 +227,12 @@
 
 void store_mirror::apply(store_changes changes)
 {
+    std::set<std::string> changed;
+    this->is_gapless = true;
     for (auto& event : changes.events)
     {
+        const bool is_first = changed.insert(event.item.key).second;
+        this->is_gapless = this->is_gapless && is_first;
         if (event.is_removed)
         {
             this->values.erase(event.item.key);
--- a/src/node/store_mirror.hpp
+++ b/src/node/store_mirror.hpp
@@ -80,6 +80,13 @@
         this->on_confirmed = std::move(handler);
     }
 
+    /// True if the values passed last differ from those before by at most one
+    /// change of each key, so that no value was missed in between.
+    [[nodiscard]] bool has_seen_all_values() const
+    {
+        return this->is_gapless;
+    }
+
     /// Number of checks that the store did not answer.
     [[nodiscard]] std::uint64_t failed_checks() const
     {
@@ -118,6 +125,7 @@
     store_position position;
     bool is_loaded = false;
     bool needs_reload = true;
+    bool is_gapless = false;
     unsigned failures = 0;
     time_point outage_start;
     time_point last_failure;
