Keep the configuration that an invalid one has followed

Change: the mirror keeps the values that were replaced within an answer for the call of the handler; only if an entry was refused are they read, to find the last usable one. Nothing is used after a read of all keys, when a version may have been missed.

--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -254,8 +254,7 @@
         // Peers may have a usable value that was written and replaced since.
         this->accepted_policy_values.clear();
     }
-    policy_reading reading =
-        this->policies.read(values, this->accepted_policy_values);
+    policy_reading reading = this->read_policy(values);
     for (const refused_entry& item : reading.refused)
     {
         const auto found = values.find(item.key);
@@ -282,6 +281,29 @@
         std::make_shared<policy>(position, std::move(*reading.value)));
 }
 
+policy_reading
+entry_node::read_policy(const std::map<std::string, std::string>& values)
+{
+    auto accepted = this->accepted_policy_values;
+    policy_reading reading = this->policies.read(values, accepted);
+    const auto& replaced = this->policy_mirror.replaced_values();
+    if (!reading.refused.empty() && !replaced.empty())
+    {
+        // One of them may be the usable value that the refused one has
+        // followed.
+        accepted = this->accepted_policy_values;
+        for (const store_item& item : replaced)
+        {
+            auto former = values;
+            former[item.key] = item.value;
+            static_cast<void>(this->policies.read(former, accepted));
+        }
+        reading = this->policies.read(values, accepted);
+    }
+    this->accepted_policy_values = std::move(accepted);
+    return reading;
+}
+
 void entry_node::log_loaded_policy(
     const store_position& position, const configuration& value) const
 {
--- a/src/node/entry_node.hpp
+++ b/src/node/entry_node.hpp
@@ -56,6 +56,10 @@
     void on_policy_values(
         const std::map<std::string, std::string>& values,
         const store_position& position);
+    /// Reads the operators' values, with the last usable ones in place of those
+    /// that are not.
+    policy_reading
+    read_policy(const std::map<std::string, std::string>& values);
     void log_loaded_policy(
         const store_position& position, const configuration& value) const;
 
--- a/src/node/store_mirror.cpp
+++ b/src/node/store_mirror.cpp
@@ -88,7 +88,7 @@
     this->needs_reload = false;
     this->is_loaded = true;
     this->is_gapless = false;
-    this->on_change(this->values, this->position);
+    this->report_change();
     this->on_confirmed(sent);
     co_return true;
 }
@@ -130,7 +130,7 @@
         this->on_confirmed(std::min(node_now(), sent + wait));
         co_return true;
     }
-    this->on_change(this->values, this->position);
+    this->report_change();
     // Changes that followed are in the answer to the next call.
     this->on_confirmed(node_now());
     const auto delay = this->batching.next(node_now());
@@ -194,7 +194,7 @@
         log_line(log_level::warning, "watch_silent")
             .field("prefix", this->prefix)
             .field("position", to_string(this->position));
-        this->on_change(this->values, this->position);
+        this->report_change();
         this->start_loop();
     }
     // Without changes the position stays that of the watch, which reads all
@@ -231,8 +231,12 @@
     this->is_gapless = true;
     for (auto& event : changes.events)
     {
+        const auto known = this->values.find(event.item.key);
         const bool is_first = changed.insert(event.item.key).second;
-        this->is_gapless = this->is_gapless && is_first;
+        if (!is_first && known != this->values.end())
+        {
+            this->replaced.push_back({known->first, std::move(known->second)});
+        }
         if (event.is_removed)
         {
             this->values.erase(event.item.key);
@@ -245,6 +249,12 @@
     this->position = changes.position;
 }
 
+void store_mirror::report_change()
+{
+    this->on_change(this->values, this->position);
+    this->replaced.clear();
+}
+
 asio::awaitable<void> store_mirror::pause(std::chrono::milliseconds time)
 {
     asio::steady_timer timer(this->context, time);
--- a/src/node/store_mirror.hpp
+++ b/src/node/store_mirror.hpp
@@ -22,6 +22,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace masticslip
 {
@@ -80,13 +81,20 @@
         this->on_confirmed = std::move(handler);
     }
 
-    /// True if the values passed last differ from those before by at most one
-    /// change of each key, so that no value was missed in between.
+    /// True unless values may have been missed between those passed last and
+    /// those before.
     [[nodiscard]] bool has_seen_all_values() const
     {
         return this->is_gapless;
     }
 
+    /// Values that the store has replaced between those passed last and those
+    /// before, oldest first. Only valid during the call of the handler.
+    [[nodiscard]] const std::vector<store_item>& replaced_values() const
+    {
+        return this->replaced;
+    }
+
     /// Number of checks that the store did not answer.
     [[nodiscard]] std::uint64_t failed_checks() const
     {
@@ -109,6 +117,8 @@
     /// True if the store's state at `other` does not follow the one known.
     [[nodiscard]] bool is_other_history(const store_position& other) const;
     void apply(store_changes changes);
+    /// Passes the values on.
+    void report_change();
     boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
     void record_failure(const char* call, const std::string& reason);
     void record_success();
@@ -126,6 +136,7 @@
     bool is_loaded = false;
     bool needs_reload = true;
     bool is_gapless = false;
+    std::vector<store_item> replaced;
     unsigned failures = 0;
     time_point outage_start;
     time_point last_failure;
