Refuse statuses of other senders than the companion's upstream

Flows that it accepts while it leaves end with it.

Cause: a companion took each well-formed status at its status address for one of its own upstream, whatever service, address or failure domain it stated. The latest start wins among them, so a foreign status replaced the upstream, whose own statuses were then outdated: acknowledged and ignored. A departure before any status took the upstream's place in the same way.

Evidence: a companion's log of the case has upstream_changed with the foreign id, and then status_refused (dropped_stale) for the upstream's own id.

Change: a status counts only if it states the service, address and failure domain of the companion's settings. Others get 421 with a reason, the event status_foreign (bounded) and its counter, and change nothing. A departure before the first status only makes late statuses of that same incarnation outdated. Unreadable departures are refused, malformed statuses counted, and status_refused is bounded like the lines of requests. It works because the comparison comes before anything else reads the status.

The test of unreadable departures now accepts a refusal or no start, and foreign_statuses demands the refusal; tests that compared with a bool compare with the outcome, which is stricter.

--- a/fuzz/flow_targets.cpp
+++ b/fuzz/flow_targets.cpp
@@ -167,7 +167,7 @@
         {
             failure_reason reason;
             static_cast<void>(platform::parse_status("i-1", text, reason));
-            static_cast<void>(platform::parse_departure("i-1", text));
+            static_cast<void>(platform::parse_departure("i-1", text, reason));
         });
     fuzz_text(
         inputs, count, document_text,
--- a/include/masticslip/flow/companion_flow_core.hpp
+++ b/include/masticslip/flow/companion_flow_core.hpp
@@ -86,6 +86,8 @@
     std::uint64_t process_number = 0;
     /// Time within which a change of the policy has to be in force.
     std::chrono::milliseconds policy_time_limit = default_policy_time_limit;
+    /// The upstream receives packets at this address, and states it.
+    endpoint upstream_address{};
 };
 
 /// Not thread-safe; times must not decrease.
@@ -107,9 +109,12 @@
 
     [[nodiscard]] policy_status status_of_policy(time_point now) const;
 
-    /// The upstream sent its status, or its departure. Returns true if it was
-    /// accepted.
-    bool on_status(time_point now, const upstream_status& status);
+    /// A status arrived. It counts only if it states the service, failure
+    /// domain and address of this companion's upstream; others may send here.
+    status_outcome on_status(time_point now, const upstream_status& status);
+
+    /// A departure arrived. Returns false if it is not that of the incarnation
+    /// whose status was accepted last.
     bool on_departure(time_point now, const upstream_incarnation& incarnation);
 
     /// Result of the presence check that was requested last.
@@ -238,6 +243,7 @@
         flow_record,
         std::hash<flow_endpoints>>;
 
+    [[nodiscard]] bool is_of_upstream(const upstream_status& status) const;
     void on_policy_changed(time_point now);
     /// Emits an event when the evidence becomes stale or fresh again.
     void report_evidence(time_point now);
--- a/include/masticslip/flow/flow_event.hpp
+++ b/include/masticslip/flow/flow_event.hpp
@@ -25,13 +25,14 @@
     packet_returned,  ///< A companion returned a packet of an unknown flow.
     packet_dropped,   ///< An opening packet could not be placed; not reset,
                       ///< because a companion may have opened the flow.
+    status_refused,   ///< A status is outdated or of a former incarnation.
+    status_foreign,   ///< A status of another sender than the upstream.
     policy_in_force,  ///< A newer policy was applied.
     member_joined,    ///< A companion became known.
     member_left,      ///< A companion was removed.
     member_silent,    ///< A companion stopped answering.
     member_returned,  ///< A silent companion answers again.
     upstream_changed, ///< The upstream's state or incarnation changed.
-    status_refused,   ///< A status is outdated or of a former incarnation.
     freeze_detected,  ///< The process was suspended; its state may be stale.
     companions_lost,  ///< No companion answers: the entry is isolated.
     companions_found, ///< Companions answer again.
@@ -42,7 +43,7 @@
     policy_confirmed    ///< There is again.
 };
 
-constexpr std::size_t flow_event_count = 24;
+constexpr std::size_t flow_event_count = 25;
 
 /// Stable names, in the order of the enumeration.
 extern const std::array<std::string_view, flow_event_count> flow_event_names;
--- a/include/masticslip/flow/upstream_monitor.hpp
+++ b/include/masticslip/flow/upstream_monitor.hpp
@@ -12,6 +12,7 @@
 #include "masticslip/flow/upstream_status.hpp"
 
 #include <optional>
+#include <vector>
 
 namespace masticslip
 {
@@ -21,7 +22,9 @@
 {
     accepted,
     /// An older message of this incarnation, or of a former one.
-    outdated
+    outdated,
+    /// Of another sender than the upstream beside this process.
+    foreign
 };
 
 /// Result of a presence check: a connection to the upstream's address.
@@ -50,11 +53,13 @@
     /// This process starts to observe the upstream; call once, first.
     void on_start(time_point now);
 
-    /// Processes a status of the upstream.
+    /// Processes a status of the upstream: accepted or outdated.
+    /// Precondition: the upstream is its sender, which cannot be told here.
     status_outcome on_status(const upstream_status& status, time_point now);
 
-    /// The upstream reports its departure. Returns false if a later incarnation
-    /// is known.
+    /// The upstream reports its departure. Returns false if another incarnation
+    /// is known. Before any status the sender is unknown too: only statuses of
+    /// that same incarnation are outdated then.
     bool on_departure(const upstream_incarnation& incarnation);
 
     /// A packet was forwarded to the upstream.
@@ -120,14 +125,14 @@
     /// True if the upstream that sent its status here has departed.
     [[nodiscard]] bool has_departed() const
     {
-        return this->departed && this->has_status();
+        return this->departed;
     }
 
     /// True if a departure arrived before any status. It may be that of a
     /// former incarnation.
     [[nodiscard]] bool may_have_departed() const
     {
-        return this->departed && !this->has_status();
+        return !this->newest && !this->early_departures.empty();
     }
 
     /// Time of the newest accepted status or packet of the upstream.
@@ -158,10 +163,9 @@
     [[nodiscard]] bool is_status_overdue(time_point now) const;
 
 private:
-    [[nodiscard]] bool has_status() const
-    {
-        return this->status_received_at != time_point{};
-    }
+    /// True if a departure of this incarnation arrived before any status.
+    [[nodiscard]] bool
+    has_departed_early(const upstream_incarnation& incarnation) const;
     /// True if the sender of this status, the first of its incarnation, started
     /// after this process.
     [[nodiscard]] bool started_under_observation(
@@ -180,6 +184,8 @@
     std::optional<time_point> unanswered_since;
     bool status_valid = false;
     bool departed = false;
+    /// Incarnations whose departure arrived before any status.
+    std::vector<upstream_incarnation> early_departures;
     bool cold_until_status = false;
     bool observed_since_start = false;
     /// When the check that found the upstream absent was sent.
--- a/include/masticslip/flow/upstream_status.hpp
+++ b/include/masticslip/flow/upstream_status.hpp
@@ -29,6 +29,8 @@
     std::uint64_t sequence = 0;
     std::string service;
     std::string failure_domain;
+    /// Address at which the upstream receives packets.
+    endpoint address;
     std::uint32_t concurrency = 1;
     bool is_draining = false;
     /// Remaining warm-up time, during which the upstream handles little load.
--- a/src/flow/upstream_monitor.cpp
+++ b/src/flow/upstream_monitor.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds silence_limit{400};
 /// Sequence number of the first status of an incarnation.
 constexpr std::uint64_t first_sequence = 1;
+/// Bounds the memory that departures of other senders can take.
+constexpr std::size_t max_early_departures = 16;
 
 } // namespace
 
@@ -40,6 +42,10 @@
     {
         return status_outcome::outdated;
     }
+    if (!is_known && this->has_departed_early(status.incarnation))
+    {
+        return status_outcome::outdated;
+    }
     const bool fits_absence =
         !is_same && this->started_after_absence(status, now);
     if (!is_same)
@@ -121,20 +127,21 @@
 
 bool upstream_monitor::on_departure(const upstream_incarnation& incarnation)
 {
-    if (this->newest && this->newest->incarnation.id != incarnation.id)
+    if (!this->newest)
     {
-        return false;
+        if (this->early_departures.size() < max_early_departures)
+        {
+            this->early_departures.push_back(incarnation);
+        }
+        return true;
     }
-    if (this->newest && incarnation.started.count() != 0 &&
-        this->newest->incarnation.started > incarnation.started)
+    const upstream_incarnation& known = this->newest->incarnation;
+    const bool is_former =
+        incarnation.started.count() != 0 && known.started > incarnation.started;
+    if (known.id != incarnation.id || is_former)
     {
         return false;
     }
-    if (!this->newest)
-    {
-        this->newest.emplace();
-        this->newest->incarnation.id = incarnation.id;
-    }
     // Its statuses may be late; zero if the departure does not say.
     this->newest->incarnation.started =
         std::max(this->newest->incarnation.started, incarnation.started);
@@ -142,6 +149,18 @@
     return true;
 }
 
+bool upstream_monitor::has_departed_early(
+    const upstream_incarnation& incarnation) const
+{
+    return std::any_of(
+        this->early_departures.begin(), this->early_departures.end(),
+        [&incarnation](const upstream_incarnation& departed)
+        {
+            return departed.id == incarnation.id &&
+                   departed.started >= incarnation.started;
+        });
+}
+
 void upstream_monitor::on_packet_sent(time_point now)
 {
     if (!this->unanswered_since)
--- a/src/node/companion_node.cpp
+++ b/src/node/companion_node.cpp
@@ -19,6 +19,9 @@
 /// Delay before exit, so that the last load reports are sent, and interval of
 /// the checks whether requests are still in flight.
 constexpr std::chrono::milliseconds exit_check_interval{20};
+/// Shortest interval between log lines about malformed statuses.
+constexpr std::chrono::seconds malformed_status_log_interval{1};
+constexpr std::size_t max_logged_id_size = 64;
 /// Time limit for removing the companion's key from the store after its
 /// upstream has terminated.
 constexpr std::chrono::milliseconds deregistration_timeout{1'500};
@@ -32,6 +35,7 @@
     result.failure_domain = settings.failure_domain;
     result.packet_address = settings.packet_address;
     result.status_interval = role.status_interval;
+    result.upstream_address = role.upstream_address;
     result.flow_age_limit = settings.flow_age_limit;
     result.policy_time_limit = settings.policy_time_limit;
     result.process_number = static_cast<std::uint64_t>(
@@ -137,11 +141,25 @@
     this->context.stop();
 }
 
-bool companion_node::on_status(const upstream_status& status)
+status_outcome companion_node::on_status(const upstream_status& status)
 {
-    const bool accepted = this->core.on_status(node_now(), status);
+    const status_outcome outcome = this->core.on_status(node_now(), status);
     this->schedule_tick();
-    return accepted;
+    return outcome;
+}
+
+void companion_node::on_malformed_status(
+    std::string_view id, const failure_reason& reason)
+{
+    this->telemetry.count("statuses_malformed_total");
+    const time_point now = node_now();
+    if (now - this->last_malformed_status_log >= malformed_status_log_interval)
+    {
+        this->last_malformed_status_log = now;
+        log_line(log_level::warning, "status_malformed")
+            .field("upstream", id.substr(0, max_logged_id_size))
+            .field("reason", reason.text);
+    }
 }
 
 bool companion_node::on_departure(const upstream_incarnation& incarnation)
--- a/src/node/companion_node.hpp
+++ b/src/node/companion_node.hpp
@@ -25,11 +25,21 @@
     [[nodiscard]] bool is_ready() const override;
     void stop() override;
 
-    /// Handles a status message of the upstream, or its departure notice.
-    /// Returns false if the message is outdated.
-    bool on_status(const upstream_status& status);
+    /// Handles a status message; see companion_flow_core.
+    status_outcome on_status(const upstream_status& status);
+
+    /// Handles a departure notice. Returns false if it is outdated or that of
+    /// another sender.
     bool on_departure(const upstream_incarnation& incarnation);
 
+    /// A message to the status address could not be read.
+    void on_malformed_status(std::string_view id, const failure_reason& reason);
+
+    [[nodiscard]] const companion_node_settings& upstream_settings() const
+    {
+        return this->role_settings;
+    }
+
 private:
     bool open_role(std::string& reason) override;
     void on_packet(const endpoint& sender, byte_view datagram) override;
@@ -71,6 +81,7 @@
     upstream_probe probe;
     member_registration registration;
     boost::asio::steady_timer exit_timer;
+    time_point last_malformed_status_log;
     bool stopping = false;
 };
 
--- a/standins/flow/virtual_flow_fleet.cpp
+++ b/standins/flow/virtual_flow_fleet.cpp
@@ -324,7 +324,9 @@
             process,
             [&process, status](time_point now)
             {
-                if (process.core && process.core->on_status(now, status) &&
+                if (process.core &&
+                    process.core->on_status(now, status) ==
+                        status_outcome::accepted &&
                     status.is_draining &&
                     process.drain_acknowledged == time_point{})
                 {
--- a/tests/flow/companion_fixture.hpp
+++ b/tests/flow/companion_fixture.hpp
@@ -13,6 +13,9 @@
 /// Initial sequence number chosen by the upstream.
 constexpr std::uint32_t upstream_sequence = 5'000;
 
+/// Address of the companion's upstream.
+constexpr endpoint upstream_address{0x0A010023, 8080};
+
 /// A ready status of the upstream's first incarnation.
 inline upstream_status ready_status(std::uint64_t sequence)
 {
@@ -21,23 +24,27 @@
     status.sequence = sequence;
     status.service = "meetups";
     status.failure_domain = "kgl-nyr";
+    status.address = upstream_address;
     status.concurrency = 5;
     return status;
 }
 
+/// Settings of a companion whose upstream sends ready_status().
+inline companion_flow_settings settings_of_companion()
+{
+    companion_flow_settings result;
+    result.name = "side-1";
+    result.service = "meetups";
+    result.failure_domain = "kgl-nyr";
+    result.packet_address = {0x0A010023, 8232};
+    result.upstream_address = upstream_address;
+    return result;
+}
+
 /// A companion whose upstream has a concurrency of five.
 struct companion_fixture
 {
-    companion_fixture()
-        : core(
-              {"side-1",
-               "meetups",
-               "kgl-nyr",
-               {0x0A010023, 8232},
-               1'000ms,
-               60s},
-              output,
-              events)
+    companion_fixture() : core(settings_of_companion(), output, events)
     {
     }
 
--- a/tests/flow/companion_flow_core_test.cpp
+++ b/tests/flow/companion_flow_core_test.cpp
@@ -92,7 +92,8 @@
     draining.is_draining = true;
     core.on_status(at(10ms), draining);
 
-    BOOST_TEST(!core.on_status(at(20ms), ready_status(4)));
+    BOOST_TEST((
+        core.on_status(at(20ms), ready_status(4)) == status_outcome::outdated));
 
     core.on_caller_packet(at(30ms), entry, opening_packet(test_flow(1)));
     BOOST_TEST(
@@ -106,8 +107,10 @@
     make_ready();
     upstream_status restarted = ready_status(1);
     restarted.incarnation.started = 2'000'000ms;
-    BOOST_TEST(core.on_status(at(10ms), restarted));
-    BOOST_TEST(!core.on_status(at(20ms), ready_status(9)));
+    BOOST_TEST(
+        (core.on_status(at(10ms), restarted) == status_outcome::accepted));
+    BOOST_TEST((
+        core.on_status(at(20ms), ready_status(9)) == status_outcome::outdated));
     BOOST_TEST(
         core.upstream().status()->incarnation.started.count() == 2'000'000);
 }
--- a/tests/flow/companion_load_test.cpp
+++ b/tests/flow/companion_load_test.cpp
@@ -438,7 +438,7 @@
     late.incarnation.started = 2'000'000ms;
     BOOST_TEST(core.on_departure(at(10ms), late.incarnation));
 
-    BOOST_TEST(!core.on_status(at(20ms), late));
+    BOOST_TEST((core.on_status(at(20ms), late) == status_outcome::outdated));
 
     core.on_caller_packet(at(30ms), entry, opening_packet(test_flow(1)));
     BOOST_TEST(output.to_upstream == 0U);
--- a/tests/flow/companion_order_test.cpp
+++ b/tests/flow/companion_order_test.cpp
@@ -13,8 +13,7 @@
 
 companion_flow_settings settings_of(std::uint64_t process_number)
 {
-    companion_flow_settings settings{"side-1",           "meetups", "kgl-nyr",
-                                     {0x0A010023, 8232}, 1'000ms,   60s};
+    companion_flow_settings settings = settings_of_companion();
     settings.process_number = process_number;
     return settings;
 }
--- a/tests/flow/flow_limits_test.cpp
+++ b/tests/flow/flow_limits_test.cpp
@@ -18,6 +18,7 @@
     companion_flow_settings settings;
     settings.service = "meetups";
     settings.failure_domain = "kgl-nyr";
+    settings.upstream_address = upstream_address;
     settings.max_flows = max_table_size;
     return settings;
 }
--- a/tests/flow/upstream_stability_test.cpp
+++ b/tests/flow/upstream_stability_test.cpp
@@ -279,9 +279,7 @@
 {
     recording_companion_output output;
     detail_sink events;
-    companion_flow_core core(
-        {"side-1", "meetups", "kgl-nyr", {0x0A010023, 8232}, 1'000ms, 60s},
-        output, events);
+    companion_flow_core core(settings_of_companion(), output, events);
     core.on_policy(at(0ms), test_policy(7));
     core.on_status(at(0ms), ready_status(1));
     core.on_message(at(0ms), entry, entry_hello{mark_at(7), true});
