Keep an entry of another writer from taking a companion's place in the list

Cause: an entry of the list that named a companion's control address replaced that companion's record at an entry process which had not heard from it, with the service that the writer named, until its next report. Look-ups and the numbers of companions left the companion out meanwhile.

Change: read_member_list() takes an entry only under the key of the companion that it names, and one for each address: the one whose name the companion at the address has reported, else the first by key. The others are refused, logged once and counted.

--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -1,6 +1,6 @@
 #include "entry_node.hpp"
 
-#include "member_document.hpp"
+#include "member_list.hpp"
 #include "telemetry/log.hpp"
 
 #include <algorithm>
@@ -214,24 +214,23 @@
 void entry_node::on_members(const std::map<std::string, std::string>& values)
 {
     const time_point now = node_now();
-    std::set<instance_id> current;
-    for (const auto& [key, text] : values)
+    const member_list list =
+        read_member_list(member_prefix(), values, this->core.companions());
+    for (const refused_entry& item : list.refused)
     {
-        failure_reason reason;
-        const auto record = parse_member(text, reason);
-        if (!record)
+        if (this->refused_members.add(item.key, values.at(item.key)))
         {
-            if (this->refused_members.add(key, text))
-            {
-                this->telemetry.count("members_refused_total");
-                log_line(log_level::warning, "member_refused")
-                    .field("key", key)
-                    .field("reason", reason.text);
-            }
-            continue;
+            this->telemetry.count("members_refused_total");
+            log_line(log_level::warning, "member_refused")
+                .field("key", item.key)
+                .field("reason", item.reason.text);
         }
-        current.insert(record->id);
-        this->core.on_listed(now, *record);
+    }
+    std::set<instance_id> current;
+    for (const companion_record& record : list.records)
+    {
+        current.insert(record.id);
+        this->core.on_listed(now, record);
     }
     for (const instance_id id : this->registered_ids)
     {
