Ask all that may hold a flow before a packet is tried at an upstream

Cause: the look-up asked other services only if its verdict would otherwise have been a reset. A companion of any other service that had restarted made the verdict "companion_uncertain", so the companions of former services were never asked, while those of the new service that could not tell were tried.

Change: a look-up asks the companions of the route's service, then, unless one holds the flow, those of its former services and up to 256 others that may hold flows of any route (restarted, not reported, behind), after any change of the version within the age limit of flows. Only then does a packet go to a companion that cannot tell, one after the other, those of the route's service first; the answers are remembered for a second, so that a trial costs no new queries. Companions that do not answer in a round are kept as unanswered and no longer end the look-up. A flow with a known owner that cannot be asked is not tried elsewhere. Lines of a look-up name who was asked, what each answered, and why a packet went where it went.

It works because being uncertain no longer hides anybody: the set that is asked depends on who may hold the flow, not on what the others have answered.

The simulated fleet checks packets that go astray in all its tests.

--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -19,6 +19,7 @@
 
 #include "masticslip/core/detail/freeze_detector.hpp"
 #include "masticslip/flow/companion_directory.hpp"
+#include "masticslip/flow/detail/owner_lookup.hpp"
 #include "masticslip/flow/entry_flow_settings.hpp"
 #include "masticslip/flow/flow_event.hpp"
 #include "masticslip/flow/flow_loss.hpp"
@@ -210,25 +211,8 @@
         result_code refusal = result_code::not_run_no_upstream;
     };
 
-    /// A lookup of the owner of a flow.
-    struct owner_lookup
-    {
-        /// Service of the flow's route.
-        service_id service;
-        /// Companions of services that the route named before are queried, too:
-        /// the flow may have been opened then.
-        bool covers_former_services = false;
-        std::vector<bytes> packets;
-        std::uint32_t acknowledged = 0;
-        bool has_payload = false;
-        owner_state owner_status = owner_state::unknown;
-        time_point started;
-        time_point deadline;
-        std::vector<instance_id> pending;
-        std::vector<instance_id> uncertain;
-        std::vector<instance_id> absent;
-        std::size_t rounds = 0;
-    };
+    using owner_lookup = detail::owner_lookup;
+    using owner_source = detail::owner_source;
 
     template <class Value>
     using flow_table = boost::
@@ -296,6 +280,10 @@
         service_id service,
         const flow_endpoints& flow,
         std::size_t count) const;
+    [[nodiscard]] static std::vector<instance_id> highest_ranked(
+        const std::vector<instance_id>& ids,
+        const flow_endpoints& flow,
+        std::size_t count);
     std::vector<placement_candidate> candidates_for(
         time_point now, const flow_endpoints& flow, const opening& item);
     /// True if the companion has sent no load or left requests unanswered for
@@ -347,10 +335,20 @@
         time_point now,
         const flow_endpoints& flow,
         const owner_lookup& item) const;
-    /// Number of present companions of other services that may hold flows of
-    /// this route from before the entry's first policy, and cannot tell.
+    /// True if a companion of another service may hold flows of the route from
+    /// before this entry knew it, and cannot tell.
+    [[nodiscard]] bool is_unclear_holder(
+        time_point now,
+        const directory_member& member,
+        const owner_lookup& item) const;
+    /// Number of them, while there can be such flows.
     [[nodiscard]] std::size_t
     count_unclear_holders(time_point now, const owner_lookup& item) const;
+    /// Those that a lookup queries, besides the companions of services_of().
+    [[nodiscard]] std::vector<instance_id> unclear_holders(
+        time_point now,
+        const flow_endpoints& flow,
+        const owner_lookup& item) const;
     /// Services that the route named before, as far as this entry or companions
     /// that hold such flows know.
     [[nodiscard]] std::set<service_id>
@@ -364,18 +362,30 @@
     /// Adds the unqueried ones of the `width` highest-ranked companions.
     void add_pending(
         time_point now,
-        service_id service,
+        const std::vector<instance_id>& ids,
         const flow_endpoints& flow,
         std::size_t width,
         owner_lookup& item) const;
-    /// Companions of the route's service that cannot tell whether they hold
-    /// the flow.
-    [[nodiscard]] std::vector<instance_id>
-    possible_owners(const owner_lookup& item) const;
-    /// Queries the companions of former services if otherwise the caller would
-    /// be reset. Returns true if there are any.
-    [[nodiscard]] bool query_former_services(
+    /// Ends the present round and starts the next one. Returns false if there
+    /// is nobody left to query.
+    [[nodiscard]] bool query_next_companions(
+        time_point now, const flow_endpoints& flow, owner_lookup& item);
+    /// Queries companions of other services that may hold the flow, once those
+    /// of the route's service have been queried. Returns true if there are any.
+    [[nodiscard]] bool query_other_services(
         time_point now, const flow_endpoints& flow, owner_lookup& item);
+    /// The companion that gets the next trial packet: one that cannot tell
+    /// whether its upstream holds the flow.
+    [[nodiscard]] std::optional<instance_id>
+    next_trial(const flow_endpoints& flow, const owner_lookup& item) const;
+    /// Takes up the lookup that ended with a trial of a companion a moment ago.
+    [[nodiscard]] owner_lookup resume_lookup(
+        time_point now, const flow_endpoints& flow, std::uint32_t acknowledged);
+    void
+    keep_trial(time_point now, const flow_endpoints& flow, owner_lookup item);
+    void expire_trials(time_point now);
+    /// The companions that were queried and what they have answered, for logs.
+    [[nodiscard]] static std::string describe_answers(const owner_lookup& item);
     void finish_lookup(time_point now, const flow_endpoints& flow);
     /// What a lookup has found, for logs.
     [[nodiscard]] std::string describe_lookup(
@@ -387,7 +397,7 @@
         time_point now,
         const flow_endpoints& flow,
         instance_id owner,
-        bool is_confirmed);
+        owner_source source);
     void
     on_opened(time_point now, instance_id sender, const flow_opened& message);
     /// Call after on_opened(). The first sequence number tells the flow from
@@ -467,6 +477,9 @@
     /// policy in force.
     std::optional<policy_mark> newest_reported_policy;
     time_point first_policy_at;
+    /// When the version in force last changed. Another version may have been in
+    /// force in between, without this entry.
+    time_point last_version_at;
     store_position first_policy_position;
     former_services former;
     companion_directory directory;
@@ -474,6 +487,8 @@
     flow_table<flow_record> flows;
     flow_table<opening> openings;
     flow_table<owner_lookup> lookups;
+    /// Lookups that have ended with a trial. Bounded like `lookups`.
+    flow_table<owner_lookup> trials;
     std::uint64_t arrival_count = 0;
     std::map<service_id, waiting_service> waiting_services;
     /// No opening or lookup is due before this.
--- a/src/flow/entry_flow_core.cpp
+++ b/src/flow/entry_flow_core.cpp
@@ -57,6 +57,10 @@
             now, flow_event_kind::policy_kept, {}, {},
             result_code::dropped_stale);
     }
+    if (previous->value().number != this->current_policy().value().number)
+    {
+        this->last_version_at = now;
+    }
     if (result.contents_changed)
     {
         this->former.record(*previous, this->current_policy());
@@ -241,7 +245,14 @@
 std::vector<instance_id> entry_flow_core::ranked_companions(
     service_id service, const flow_endpoints& flow, std::size_t count) const
 {
-    const auto& ids = this->directory.of_service(service);
+    return highest_ranked(this->directory.of_service(service), flow, count);
+}
+
+std::vector<instance_id> entry_flow_core::highest_ranked(
+    const std::vector<instance_id>& ids,
+    const flow_endpoints& flow,
+    std::size_t count)
+{
     if (ids.size() <= count)
     {
         return ids;
@@ -332,6 +343,7 @@
     {
         this->next_sweep = now + sweep_interval;
         this->expire_flows(now);
+        this->expire_trials(now);
         this->remove_stale_members(now);
     }
 }
--- a/src/flow/entry_lookups.cpp
+++ b/src/flow/entry_lookups.cpp
@@ -32,11 +32,6 @@
 /// Maximum number of concurrent lookups, which hold packets.
 constexpr std::size_t max_lookups = 2'000;
 
-void remove(std::vector<instance_id>& ids, instance_id id)
-{
-    ids.erase(std::remove(ids.begin(), ids.end(), id), ids.end());
-}
-
 } // namespace
 
 void entry_flow_core::start_lookup(
@@ -54,6 +49,11 @@
     }
     const auto known = this->lookups.find(packet.flow);
     const bool is_new = known == this->lookups.end();
+    if (is_new)
+    {
+        this->lookups[packet.flow] =
+            this->resume_lookup(now, packet.flow, packet.acknowledged);
+    }
     owner_lookup& item = this->lookups[packet.flow];
     if (!is_new &&
         !detail::is_within_window(item.acknowledged, packet.acknowledged))
@@ -69,23 +69,21 @@
     {
         item.packets.emplace_back(packet.raw.begin(), packet.raw.end());
     }
-    if (except && !contains(item.absent, *except))
+    if (except)
     {
-        item.absent.push_back(*except);
-        remove(item.pending, *except);
-        remove(item.uncertain, *except);
+        item.move_to(item.absent, *except);
     }
     if (!is_new)
     {
         return;
     }
     item.service = make_service_id(route->service);
-    item.started = now;
     this->query_companions(now, packet.flow, item);
     this->emit(
         now, flow_event_kind::owner_looked_up, packet.flow,
         except.value_or(instance_id{}), result_code::done,
-        static_cast<std::uint32_t>(item.pending.size()));
+        static_cast<std::uint32_t>(item.pending.size()), item.trials, {},
+        describe_answers(item));
     if (item.pending.empty())
     {
         this->finish_lookup(now, packet.flow);
@@ -95,16 +93,20 @@
 void entry_flow_core::query_companions(
     time_point now, const flow_endpoints& flow, owner_lookup& item)
 {
-    const std::vector<service_id> services = this->services_of(flow, item);
-    std::size_t largest_service = 0;
-    for (const service_id service : services)
+    std::vector<std::vector<instance_id>> groups;
+    for (const service_id service : this->services_of(flow, item))
     {
-        largest_service = std::max(
-            largest_service, this->directory.of_service(service).size());
+        groups.push_back(this->directory.of_service(service));
+    }
+    groups.push_back(this->unclear_holders(now, flow, item));
+    std::size_t largest_group = 0;
+    for (const auto& ids : groups)
+    {
+        largest_group = std::max(largest_group, ids.size());
     }
     std::size_t width = 0;
     while (item.pending.empty() && item.rounds <= max_rounds &&
-           width < largest_service)
+           width < largest_group)
     {
         // The first round queries the companions that were sent hints.
         width = item.rounds == 0 ? hint_count : item.rounds * lookup_width;
@@ -112,11 +114,12 @@
             now + (item.rounds == 0 ? hint_query_timeout : lookup_timeout);
         this->arm_timer(item.deadline);
         ++item.rounds;
-        for (const service_id service : services)
+        for (const auto& ids : groups)
         {
-            this->add_pending(now, service, flow, width, item);
+            this->add_pending(now, ids, flow, width, item);
         }
     }
+    item.queries += static_cast<std::uint32_t>(item.pending.size());
     // An answer that repeats zero counts as one that was not asked for. One
     // beside it is within the same windows.
     const owner_query query{flow, std::max(item.acknowledged, 1U)};
@@ -129,16 +132,15 @@
 
 void entry_flow_core::add_pending(
     time_point now,
-    service_id service,
+    const std::vector<instance_id>& ids,
     const flow_endpoints& flow,
     std::size_t width,
     owner_lookup& item) const
 {
-    for (const instance_id id : this->ranked_companions(service, flow, width))
+    for (const instance_id id : highest_ranked(ids, flow, width))
     {
-        const directory_member& member = *this->directory.find(id);
-        if (!contains(item.absent, id) && !contains(item.uncertain, id) &&
-            counts_as_present(now, member))
+        if (!item.is_queried(id) &&
+            counts_as_present(now, *this->directory.find(id)))
         {
             item.pending.push_back(id);
         }
@@ -159,7 +161,7 @@
     {
         if (is_answer_to_lookup)
         {
-            this->assign_owner(now, message.flow, sender, true);
+            this->assign_owner(now, message.flow, sender, owner_source::answer);
         }
         this->confirm_owner(sender, message);
         return;
@@ -175,7 +177,8 @@
     if (has_hint && this->directory.find(message.owner) != nullptr)
     {
         // If the hint is wrong, the companion returns the packets.
-        this->assign_owner(now, message.flow, message.owner, true);
+        this->assign_owner(
+            now, message.flow, message.owner, owner_source::hint);
         return;
     }
     if (has_hint)
@@ -183,15 +186,9 @@
         item.owner_status = owner_state::unreachable;
         this->send_first_hello(now, message.owner);
     }
-    remove(item.pending, sender);
-    if (message.answer == ownership::uncertain)
-    {
-        item.uncertain.push_back(sender);
-    }
-    else if (!contains(item.absent, sender))
-    {
-        item.absent.push_back(sender);
-    }
+    item.move_to(
+        message.answer == ownership::uncertain ? item.uncertain : item.absent,
+        sender);
     if (item.pending.empty())
     {
         this->finish_lookup(now, message.flow);
@@ -213,6 +210,7 @@
         found->second.confirmed = true;
         found->second.is_evident = true;
         found->second.is_probe = false;
+        this->trials.erase(message.flow);
     }
 }
 
@@ -230,27 +228,14 @@
 void entry_flow_core::finish_lookup(time_point now, const flow_endpoints& flow)
 {
     owner_lookup& item = this->lookups[flow];
-    // Companions with hints are not waited for beyond the first timeout.
-    const bool is_hint_round = item.rounds == 1;
-    if ((item.pending.empty() || is_hint_round) &&
-        this->count_unqueried(now, flow, item) != 0)
+    if (this->query_next_companions(now, flow, item) ||
+        this->query_other_services(now, flow, item))
     {
-        item.pending.clear();
-        this->query_companions(now, flow, item);
-        if (!item.pending.empty())
-        {
-            return;
-        }
-    }
-    const std::vector<instance_id> possible = this->possible_owners(item);
-    if (!possible.empty())
-    {
-        const std::size_t index = hash_flow_endpoints(flow) % possible.size();
-        this->assign_owner(now, flow, possible[index], false);
         return;
     }
-    if (this->query_former_services(now, flow, item))
+    if (const auto trial = this->next_trial(flow, item))
     {
+        this->assign_owner(now, flow, *trial, owner_source::trial);
         return;
     }
     const loss_verdict verdict =
@@ -260,10 +245,11 @@
         now,
         resets_caller ? flow_event_kind::flow_reset
                       : flow_event_kind::owner_missing,
-        flow, item.pending.empty() ? instance_id{} : item.pending.front(),
+        flow, item.unanswered.empty() ? instance_id{} : item.unanswered.front(),
         result_code::unknown_flow_lost,
-        static_cast<std::uint32_t>(item.absent.size() + item.pending.size()), 0,
-        now - item.started, this->describe_lookup(now, flow, item, verdict));
+        static_cast<std::uint32_t>(item.absent.size() + item.unanswered.size()),
+        item.trials, now - item.started,
+        this->describe_lookup(now, flow, item, verdict));
     if (resets_caller)
     {
         this->output.reset_caller(flow, item.acknowledged);
@@ -271,25 +257,26 @@
     this->lookups.erase(flow);
 }
 
-std::vector<instance_id>
-entry_flow_core::possible_owners(const owner_lookup& item) const
+bool entry_flow_core::query_next_companions(
+    time_point now, const flow_endpoints& flow, owner_lookup& item)
 {
-    std::vector<instance_id> result;
-    if (item.owner_status == owner_state::departed)
-    {
-        // Packets of a flow whose owner was known are not tried elsewhere.
-        return result;
-    }
-    for (const instance_id id : item.uncertain)
+    // Companions with hints are not waited for beyond the first timeout, but
+    // queried again with the others.
+    const bool is_hint_round = item.rounds == 1;
+    if (!is_hint_round || this->count_unqueried(now, flow, item) == 0)
     {
-        const directory_member* member = this->directory.find(id);
-        // Upstreams of other services are not probed.
-        if (member != nullptr && member->service == item.service)
+        for (const instance_id id : std::vector(item.pending))
         {
-            result.push_back(id);
+            item.move_to(item.unanswered, id);
         }
     }
-    return result;
+    item.pending.clear();
+    if (this->count_unqueried(now, flow, item) == 0)
+    {
+        return false;
+    }
+    this->query_companions(now, flow, item);
+    return !item.pending.empty();
 }
 
 std::size_t entry_flow_core::count_unqueried(
@@ -297,12 +284,12 @@
 {
     const auto is_unqueried = [this, now, &item](instance_id id)
     {
-        const bool is_queried = contains(item.absent, id) ||
-                                contains(item.uncertain, id) ||
-                                contains(item.pending, id);
-        return !is_queried && counts_as_present(now, *this->directory.find(id));
+        return !item.is_queried(id) &&
+               counts_as_present(now, *this->directory.find(id));
     };
-    std::size_t result = 0;
+    const auto others = this->unclear_holders(now, flow, item);
+    auto result = static_cast<std::size_t>(
+        std::count_if(others.begin(), others.end(), is_unqueried));
     for (const service_id service : this->services_of(flow, item))
     {
         const auto& ids = this->directory.of_service(service);
@@ -329,7 +316,7 @@
     result.has_payload = item.has_payload;
     result.absent = item.absent.size();
     result.unasked = this->count_unqueried(now, flow, item);
-    result.unanswered = item.pending.size();
+    result.unanswered = item.pending.size() + item.unanswered.size();
     result.uncertain =
         item.uncertain.size() + this->count_unclear_holders(now, item);
     return result;
@@ -369,18 +356,19 @@
            " reported=" + std::to_string(reported) +
            " absent=" + std::to_string(item.absent.size()) +
            " uncertain=" + std::to_string(item.uncertain.size()) +
-           " unanswered=" + std::to_string(item.pending.size()) +
+           " unanswered=" + std::to_string(item.unanswered.size()) +
            " owner=" + std::string(to_string(item.owner_status)) +
            " kept=" + std::string(to_string(verdict)) +
            " settled=" + std::to_string(this->is_settled(now)) +
-           " policy_known_ms=" + std::to_string(policy_age.count());
+           " policy_known_ms=" + std::to_string(policy_age.count()) + " " +
+           describe_answers(item);
 }
 
 void entry_flow_core::assign_owner(
     time_point now,
     const flow_endpoints& flow,
     instance_id owner,
-    bool is_confirmed)
+    owner_source source)
 {
     const auto found = this->lookups.find(flow);
     owner_lookup item = std::move(found->second);
@@ -390,27 +378,29 @@
     {
         return;
     }
+    const bool is_trial = source == owner_source::trial;
     flow_record& record = this->flows[flow];
     record = {};
     record.companion = owner;
-    record.confirmed = is_confirmed;
-    record.is_probe = !is_confirmed;
+    record.confirmed = !is_trial;
+    record.is_probe = is_trial;
     record.acknowledged = item.acknowledged;
     record.known_since = now;
     record.last_packet = now;
+    item.trials += is_trial ? 1 : 0;
     this->emit(
         now, flow_event_kind::owner_found, flow, owner, result_code::done,
-        static_cast<std::uint32_t>(
-            item.absent.size() + item.pending.size() + item.uncertain.size() +
-            1),
-        0, now - item.started);
-    for (const bytes& packet : item.packets)
-    {
-        this->output.send_packet(member->record.packet_address, packet);
-        if (!is_confirmed)
-        {
-            break;
-        }
+        item.queries, item.trials, now - item.started,
+        "by=" + std::string(to_string(source)) + " " + describe_answers(item));
+    const std::size_t count = is_trial ? 1 : item.packets.size();
+    for (std::size_t i = 0; i < std::min(count, item.packets.size()); ++i)
+    {
+        this->output.send_packet(
+            member->record.packet_address, item.packets[i]);
+    }
+    if (is_trial)
+    {
+        this->keep_trial(now, flow, std::move(item));
     }
 }
 
--- a/standins/flow/virtual_fleet_network.cpp
+++ b/standins/flow/virtual_fleet_network.cpp
@@ -231,9 +231,33 @@
     {
         this->check_opening(index, packet);
     }
+    else
+    {
+        this->check_packet(index, packet);
+    }
     process.host->on_packet(packet, this->clients.work_of(packet.request));
 }
 
+void virtual_flow_fleet::check_packet(
+    std::size_t index, const virtual_packet& packet)
+{
+    const auto is_own = [this, &packet](const auto& process)
+    {
+        return process->host->holds(packet.flow) &&
+               this->clients.accepts_reset(packet.flow, packet.acknowledged);
+    };
+    const bool reaches_own = this->companions[index]->host->holds(packet.flow);
+    const bool is_astray =
+        !reaches_own && this->clients.is_open(packet.flow) &&
+        std::any_of(this->companions.begin(), this->companions.end(), is_own);
+    if (reaches_own || is_astray)
+    {
+        this->checker.on_flow_packet(
+            this->queue.now(), packet.flow, "host " + std::to_string(index),
+            reaches_own);
+    }
+}
+
 void virtual_flow_fleet::check_presence(std::size_t index)
 {
     companion_process& process = *this->companions[index];
--- a/standins/flow/virtual_fleet_store.cpp
+++ b/standins/flow/virtual_fleet_store.cpp
@@ -35,7 +35,9 @@
         route_definition route;
         route.name = service.name;
         route.address = service.address;
-        route.service = service.name;
+        const auto moved = this->moved_routes.find(service.address);
+        route.service =
+            moved == this->moved_routes.end() ? service.name : moved->second;
         route.kind = service.kind;
         value.routes.push_back(route);
     }
@@ -282,6 +284,14 @@
     }
 }
 
+void virtual_flow_fleet::move_route(
+    const endpoint& target, const std::string& service)
+{
+    this->moved_routes[target] = service;
+    this->checker.on_route_changed(target, service);
+    this->publish_policy();
+}
+
 void virtual_flow_fleet::change_version()
 {
     this->publish_policy();
--- a/standins/flow/virtual_flow_fleet.hpp
+++ b/standins/flow/virtual_flow_fleet.hpp
@@ -126,6 +126,8 @@
         std::chrono::milliseconds age, std::chrono::milliseconds rewrite);
     /// Publishes the same contents in a new version.
     void change_version();
+    /// Publishes a version in which a route names another service.
+    void move_route(const endpoint& target, const std::string& service);
     void withdraw(std::uint32_t domain);
     void restore(std::uint32_t domain);
 
@@ -217,6 +219,8 @@
     /// Tells a companion whether its host runs.
     void check_presence(std::size_t index);
     void check_opening(std::size_t index, const virtual_packet& packet);
+    /// Checks whether a packet of an open flow reaches the host that holds it.
+    void check_packet(std::size_t index, const virtual_packet& packet);
     /// Contents of the store.
     struct stored_state
     {
@@ -262,6 +266,8 @@
     std::set<std::pair<std::uint32_t, std::uint32_t>> cuts;
     time_point healed_at;
     std::set<std::string> withdrawn;
+    /// Services of the routes that operators have changed.
+    std::map<endpoint, std::string> moved_routes;
     std::shared_ptr<const policy> current_policy;
     store_position position;
     generation version = 0;
