Act on a new era of the store that is reported during a call

Cause: member_registration::on_era() wakes the registration by cancelling its timer. While a call to the store is in flight no timer runs, so the report was lost: the registration paused until its next renewal (1.33 s) and only then began the spread of up to 1 s. The answers to the last companions' writes were on their way when the era was reported.

Change: the registration looks for a newer era after each call, before it pauses.

--- a/src/node/member_registration.cpp
+++ b/src/node/member_registration.cpp
@@ -179,6 +179,12 @@
         {
             done = co_await this->renew();
         }
+        if (this->has_lease_of_earlier_era())
+        {
+            // Reported during the call, when no timer was running that
+            // on_era() could have cancelled.
+            continue;
+        }
         const bool is_registered = this->lease != 0 && this->is_written;
         if (!done)
         {
