--- a/include/masticslip/flow/entry_flow_core.hpp
+++ b/include/masticslip/flow/entry_flow_core.hpp
@@ -20,6 +20,7 @@
 #include "masticslip/core/detail/freeze_detector.hpp"
 #include "masticslip/flow/companion_directory.hpp"
 #include "masticslip/flow/detail/owner_lookup.hpp"
+#include "masticslip/flow/entry_flow_output.hpp"
 #include "masticslip/flow/entry_flow_settings.hpp"
 #include "masticslip/flow/flow_event.hpp"
 #include "masticslip/flow/flow_loss.hpp"
@@ -44,22 +45,6 @@
 namespace masticslip
 {
 
-/// Output of the core. Called on the thread that drives the core.
-class entry_flow_output
-{
-public:
-    virtual ~entry_flow_output() = default;
-
-    /// Forwards a caller's packet to a companion unchanged.
-    virtual void send_packet(const endpoint& companion, byte_view packet) = 0;
-    /// Sends a reset to the caller; `sequence` is the caller's acknowledgement.
-    virtual void
-    reset_caller(const flow_endpoints& flow, std::uint32_t sequence) = 0;
-    virtual void send(instance_id to, const flow_message& message) = 0;
-    /// Requests the policy of a companion.
-    virtual void fetch_policy(instance_id from) = 0;
-};
-
 /// Not thread-safe; times must not decrease.
 class entry_flow_core
 {
