review: case 6, planned work alone makes entries reset open flows

Hosts are released while the entries are stopped and started in turn, and the router hashes by mod. An entry that was just restarted knows a new companion up to a second before the others, places flows there, and does not state the number of companions for three seconds. An entry to which such a flow moves takes the old number as proof that it knows all, and resets it.

--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -386,6 +386,20 @@
             asyncio.create_task(self.beat_once())
             await asyncio.sleep(self.world.heartbeat_s)
 
+    async def leave(self, serve_s=3.3):
+        """Drains, goes on serving for a while, reports its departure and exits.
+        The platform then stops the node beside it."""
+        self.state = "draining"
+        while not self.acked_draining:
+            await self.beat_once()
+            await asyncio.sleep(.1)
+        await asyncio.sleep(serve_s)
+        await http_call(self.ip, PORT_CONTROL, "DELETE", "/api/instances/" + self.id,
+                        {"born": self.born})
+        self.crash()
+        self.process.send_signal(signal.SIGTERM)
+        await self.process.ended()
+
     def send(self, packet):
         self.udp.sendto(packet.encode(), (self.ip, PORT_OUTBOUND))
 
@@ -412,6 +426,13 @@
                              (p.seq + 1) & 0xFFFFFFFF))
             return
         flow = self.flows.get(key)
+        if flow is not None and flow.get("ended"):
+            if p.flags & FIN:
+                self.send(Packet(p.dst, p.dport, p.src, p.sport, ACK, flow["out"],
+                                 (p.seq + 1) & 0xFFFFFFFF))
+            elif p.data:
+                self.send(Packet(p.dst, p.dport, p.src, p.sport, RST, p.ack, p.seq))
+            return
         if flow is not None and not flow["open"]:
             if p.ack == (flow["seq"] + 1) & 0xFFFFFFFF:
                 flow["open"] = True
@@ -430,7 +451,8 @@
         if p.flags & FIN and not p.data:
             self.send(Packet(p.dst, p.dport, p.src, p.sport, ACK | FIN, flow["out"],
                              (p.seq + 1) & 0xFFFFFFFF))
-            del self.flows[key]
+            flow["open"] = False
+            flow["ended"] = True
             return
         if not p.data:
             return
@@ -496,6 +518,11 @@
         self.world.route(self, self.packet(ACK, self.next, self.last_ack))
         return True
 
+    def close(self):
+        """Closes the flow by a FIN; the answer doesn't matter."""
+        if not self.resets:
+            self.world.route(self, self.packet(FIN | ACK, self.next, self.last_ack))
+
     async def request(self, name, deadline=3.0):
         """Sends one request and its retransmissions; returns the outcome."""
         data = (f"POST /{name} HTTP/1.1\r\nHost: x\r\n"
@@ -566,6 +593,7 @@
         self.store = Store(self)
         self.version = 10
         self.idle_ms = 15000
+        self.hash_mode = "steady"
 
     def ip(self, group, number):
         return f"127.{self.network}.{group}.{number}"
@@ -580,7 +608,7 @@
 
     def ran(self, host, request):
         self.runs.setdefault(request, []).append(host.name)
-        self.note(f"host {host.name} runs {request}")
+        self.note(f"{host.name} runs {request}")
 
     def on_reset(self, flow, packet, sender, near):
         pass
@@ -618,7 +646,8 @@
                 "bounds.contact_ms=4000", "bounds.drain_ms=3000", "bounds.grace_s=6",
                 "bounds.config_apply_ms=3000", "bounds.rollback_slack_ms=250",
                 "bounds.evacuate_ms=5000", "bounds.recover_s=12",
-                "bounds.reorder_ms=2000", "bounds.flow_ttl_s=60", "hash_mode=steady",
+                "bounds.reorder_ms=2000", "bounds.flow_ttl_s=60",
+                f"hash_mode={self.hash_mode}",
                 "deployment_mode=agent", f"platform.address={store_ip}:{PORT_STORE}",
                 "platform.deployment_mode=kv", "platform.ttl_min_ms=1000"]
 
@@ -636,7 +665,7 @@
         self.rotation[p.name] = 2
         return p
 
-    async def add_host(self, number, service, zone="z1", slots=5, cold_s=0.0, start=True):
+    async def add_host(self, number, service, zone="z1", slots=5, cold_s=0.0, after_s=0.0):
         ip = self.ip(2, number)
         lines = self.settings(f"side-{number}", "side", ip, zone, self.store_ip)
         lines += [f"bind_addrs.outbound={ip}:{PORT_OUTBOUND}",
@@ -648,8 +677,8 @@
         host = Host(self, f"h{number}", ip, service, zone, slots, cold_s)
         host.process = p
         self.hosts.append(host)
-        if start:
-            await host.start()
+        await asyncio.sleep(after_s)
+        await host.start()
         return host
 
     async def start_clients(self, count=1):
@@ -681,10 +710,13 @@
             await asyncio.sleep(.5)
 
     def select(self, flow):
-        """The router's choice: the highest hash among the nodes in rotation."""
+        """The router's choice: by `steady` the highest hash among the nodes in
+        rotation, by `mod` the hash modulo their number."""
         ready = [e for e in self.entries if self.rotation[e.name] < 2]
         if 2 * len(ready) < len(self.entries):
             ready = self.entries
+        if self.hash_mode == "mod":
+            return ready[zlib.crc32(str(flow.key).encode()) % len(ready)]
         return max(ready, key=lambda e: zlib.crc32(f"{flow.key}{e.name}".encode()))
 
     def route(self, flow, packet):
