review: case 8, a companion restarted after its host's call 0 denies its flows

A status of number 1 is taken for the host's first one, so a companion that is stopped and started within the first heartbeat interval of a host that counts from 0 denies all flows that its former process admitted, and entries reset them.

--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -336,12 +336,13 @@
         self.work_s = 0.03
         self.acked_draining = None
         self.on_packet_hook = None
+        self.first_sequence = 1
 
     async def start(self):
         self.id = f"i-{random.getrandbits(40):010x}"
         self.born = int(time.time() * 1000)
         self.started = time.monotonic()
-        self.sequence = 0
+        self.sequence = self.first_sequence - 1
         self.state = "ready"
         self.flows = {}
         self.alive = True
@@ -665,7 +666,8 @@
         self.rotation[p.name] = 2
         return p
 
-    async def add_host(self, number, service, zone="z1", slots=5, cold_s=0.0, after_s=0.0):
+    async def add_host(self, number, service, zone="z1", slots=5, cold_s=0.0, after_s=0.0,
+                       first_sequence=1):
         ip = self.ip(2, number)
         lines = self.settings(f"side-{number}", "side", ip, zone, self.store_ip)
         lines += [f"bind_addrs.outbound={ip}:{PORT_OUTBOUND}",
@@ -676,6 +678,7 @@
         self.processes.append(p)
         host = Host(self, f"h{number}", ip, service, zone, slots, cold_s)
         host.process = p
+        host.first_sequence = first_sequence
         self.hosts.append(host)
         await asyncio.sleep(after_s)
         await host.start()
