--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -12,6 +12,7 @@
 import random
 import shutil
 import signal
+import socket
 import struct
 import subprocess
 import sys
@@ -85,8 +86,7 @@
     transport, _ = await loop.create_datagram_endpoint(
         lambda: Datagrams(handler), local_addr=address)
     sock = transport.get_extra_info("socket")
-    import socket as s
-    sock.setsockopt(s.SOL_SOCKET, s.SO_RCVBUF, 4 << 20)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 << 20)
     return transport
 
 
@@ -576,12 +576,25 @@
         return f"{ip_text(self.src)}:{self.sport}"
 
 
+def free_network():
+    """Second octet of loopback addresses that no other run uses."""
+    for step in range(200):
+        number = 20 + (os.getpid() + step) % 200
+        with socket.socket() as probe:
+            try:
+                probe.bind((f"127.{number}.0.1", PORT_STORE))
+                return number
+            except OSError:
+                pass
+    raise RuntimeError("no free addresses")
+
+
 class World:
     def __init__(self, folder, network=None, flags=()):
         self.out = open(os.path.join(folder, "record.txt"), "w")
         self.began = time.monotonic()
         self.folder = tempfile.mkdtemp(prefix="masticslip-review-")
-        self.network = network or 20 + os.getpid() % 200
+        self.network = network or free_network()
         self.flags = list(flags)
         self.heartbeat_s = 1.0
         self.processes, self.hosts, self.entries, self.flows = [], [], [], {}
