--- a/review/standins-2/world.py
+++ b/review/world_2.py
@@ -26,7 +26,7 @@
 KEY = 0x5EED1E55
 PORT_PACKETS, PORT_READY, PORT_CONTROL = 8172, 8167, 8166
 PORT_OUTBOUND, PORT_APP, PORT_STORE = 8162, 8165, 8169
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
 
 def ip_number(text):
